--- a/linenwind/adapter.py
+++ b/capershelf/benchlink.py
@@ -1,6 +1,6 @@
 """The bench's wire on standard input and output; translates only, decides nothing.
 
-Run as ``python -m linenwind.adapter``.
+Run as ``python -m capershelf.benchlink``.
 """
 
 from __future__ import annotations
@@ -10,8 +10,8 @@
 from collections.abc import Iterator
 from typing import Any, TextIO
 
-from linenwind import interface as api
-from linenwind.control import Controller
+from capershelf import interface as api
+from capershelf.control import Controller
 
 RESULTS = {
     "pass": api.Result.OK,
@@ -248,7 +248,7 @@
     try:
         serve(sys.stdin, sys.stdout)
     except (WireError, ValueError) as problem:
-        print(f"linenwind: {problem}", file=sys.stderr)
+        print(f"capershelf: {problem}", file=sys.stderr)
         return 1
     return 0
 
--- a/linenwind/control.py
+++ b/capershelf/control.py
@@ -1,4 +1,4 @@
-"""Every decision of linenwind.  The types that come in and go out are in linenwind/interface.py.
+"""Every decision of capershelf.  The types that come in and go out are in capershelf/interface.py.
 
 One Controller serves one gateway.  Each server has a Gate: Patil's threshold-and-time detector
 (docs/design.md) with the judged state of the server.  A call is held, out, or awaiting release;
@@ -12,7 +12,7 @@
 import zlib
 from collections import deque
 
-from linenwind.interface import (
+from capershelf.interface import (
     Action, AttemptOver, CallClass, CallerGone, Cancel, Event, Fail, ListedServer, Log, NewCall, Probe,
     Refuse, Report, Result, Send, ServerList, ServerReport, SetTimer, Settings, Standing, Stands, TimerFired,
     Why,
--- a/tests/rig.py
+++ b/tests/rig.py
@@ -5,8 +5,8 @@
 from dataclasses import replace
 from typing import Any, TypeVar
 
-from linenwind import interface as api
-from linenwind.control import Controller
+from capershelf import interface as api
+from capershelf.control import Controller
 
 BASE = api.Settings(
     gateway_no=0,
--- a/tests/test_adapter.py
+++ b/tests/test_benchlink.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from linenwind.adapter import read_settings
+from capershelf.benchlink import read_settings
 
 INFO = {
     "bounds": {"cancel": True, "max-attempts": 6, "may-probe": False, "news": 1},
@@ -26,7 +26,7 @@
 
 
 def run(text: str) -> subprocess.CompletedProcess[str]:
-    command = [sys.executable, "-m", "linenwind.adapter"]
+    command = [sys.executable, "-m", "capershelf.benchlink"]
     return subprocess.run(command, input=text, capture_output=True, text=True, check=False)
 
 
--- a/tests/test_detector.py
+++ b/tests/test_detector.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from linenwind import control
-from linenwind import interface as api
+from capershelf import control
+from capershelf import interface as api
 from tests.rig import Rig, listed
 
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from linenwind import interface as api
+from capershelf import interface as api
 from tests.rig import Rig, listed
 
 FALL_MS = 3000.0
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -8,8 +8,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from linenwind import control
-from linenwind import interface as api
+from capershelf import control
+from capershelf import interface as api
 from tests.rig import Rig, listed
 from tests.rig import settings as made_settings
 
