Serve JSON lines over TCP around the module: planner, links, notice board, click

The settings reader moved from the sim adapter to config.py, so that both programs use one. No line of control.py changed; interface.Report gained a constructor by the wires' names.

--- a/capershelf/benchlink.py
+++ b/capershelf/benchlink.py
@@ -8,9 +8,10 @@
 import json
 import sys
 from collections.abc import Iterator
-from typing import Any, TextIO
+from typing import TextIO
 
 from capershelf import interface as api
+from capershelf.config import read_settings
 from capershelf.control import Controller
 
 RESULTS = {
@@ -29,7 +30,6 @@
     "left": api.Standing.GONE,
 }
 WHYS = {1: api.Why.NO_LINE, 3: api.Why.PROCESSOR_FULL, 4: api.Why.NUMBER_BUSY}
-REPORTS = {"piggyback": api.Reports.ANSWERS, "pull": api.Reports.PROBES, "silent": api.Reports.NONE}
 EMPTY = api.Report()
 
 
@@ -37,73 +37,6 @@
     """A line that is not of the wire."""
 
 
-
-
-def _need(table: dict[str, Any], path: str, key: str) -> Any:
-    if not isinstance(table, dict) or key not in table:
-        raise ValueError(f"settings lack {path}{key}")
-    return table[key]
-
-
-def _number(table: dict[str, Any], path: str, key: str, default: float | None = None) -> float:
-    value = _need(table, path, key) if default is None else table.get(key, default)
-    if isinstance(value, bool) or not isinstance(value, int | float):
-        raise ValueError(f"settings: {path}{key} must be a number, not {value!r}")
-    return float(value)
-
-
-def read_settings(info: dict[str, Any]) -> api.Settings:
-    """The wire's settings as the project's own; ValueError names a key that is missing or senseless."""
-    family = _need(info, "", "family-info")
-    if family.get("topology", "groups") != "groups":
-        raise ValueError("settings: family-info.topology must be groups")
-    bounds, contract = _need(info, "", "bounds"), _need(info, "", "contract")
-    places = family.get("pools-by-class") or []
-    widths = family.get("channels-needed") or []
-    classes = []
-    for index, entry in enumerate(_need(info, "", "categories")):
-        path = f"categories[{index}]."
-        classes.append(
-            api.CallClass(
-                name=str(_need(entry, path, "name")),
-                aim_ms=_number(entry, path, "aim"),
-                deadline_ms=_number(entry, path, "deadline"),
-                worth=_number(entry, path, "credit", 1.0),
-                late_worth=_number(entry, path, "late-worth", 0.0),
-                places=tuple(places[index]) if index < len(places) else None,
-                width=int(widths[index]) if index < len(widths) else 1,
-            )
-        )
-    telemetry = info.get("telemetry") or {}
-    advice = bool(bounds.get("retry-after", False))
-    tenants = tuple(
-        api.Tenant(str(_need(t, f"tenants[{i}].", "name")), _number(t, f"tenants[{i}].", "quota-per-s"))
-        for i, t in enumerate(info.get("tenants") or [])
-    )
-    return api.Settings(
-        gateway_no=int(_number(info, "", "slot-no")),
-        gateway_count=int(_number(info, "", "group-size")),
-        classes=tuple(classes),
-        cold_from=_number(contract, "contract.", "cold-from"),
-        ramp_ms=_number(contract, "contract.", "ramp-time"),
-        fall_multiple=_number(contract, "contract.", "tip-multiple"),
-        fall_ms=_number(contract, "contract.", "fall"),
-        release_ms=_number(family, "family-info.", "release"),
-        drain_grace_ms=_number(contract, "contract.", "drain-grace", 0.0),
-        answer_slack_ms=_number(contract, "contract.", "answer-slack", 0.0),
-        tick_ms=_number(info, "", "period", 0.0),
-        max_attempts=int(_number(bounds, "bounds.", "max-attempts")),
-        resend_ms=_number(family, "family-info.", "t1", 0.0),
-        tenants=tenants,
-        over_quota_worth=_number(info, "", "over-share-worth", 1.0),
-        may_cancel=bool(bounds.get("cancel", False)),
-        may_probe=bool(bounds.get("may-probe", False)),
-        retry_after_max_ms=_number(bounds, "bounds.", "max-retry-after", 0.0) if advice else 0.0,
-        reports=REPORTS.get(str(telemetry.get("via", "silent")), api.Reports.NONE),
-        states_wait=bool(family.get("says-wait", False)),
-    )
-
-
 def read_report(text: str) -> api.Report:
     """A load report; fields that are unknown or negative count as not given."""
     if text == "-":
@@ -114,7 +47,7 @@
         number = float(value)
         if number >= 0:
             found[name] = number
-    return api.Report(found.get("spare"), found.get("total"), found.get("recent_ms"))
+    return api.Report.of(found)
 
 
 class Adapter:
--- /dev/null
+++ b/capershelf/cli.py
@@ -0,0 +1,82 @@
+"""The command line."""
+
+from __future__ import annotations
+
+import os
+import signal
+import sys
+import threading
+from importlib import metadata
+
+import click
+from loguru import logger
+
+from capershelf import config as configuration
+from capershelf.node import Node
+
+VERSION = "0.2.0"
+
+
+def set_up_log(level: str) -> None:
+    logger.remove()
+    logger.add(
+        sys.stderr, level=level, backtrace=False, diagnose=False,
+        format="{time:HH:mm:ss.SSS} {level: <7} {message}",
+    )
+
+
+@click.group(invoke_without_command=True)
+@click.pass_context
+def main(context: click.Context) -> None:
+    """A signalling proxy for booking servers whose processors run short."""
+    if context.invoked_subcommand is None:
+        context.invoke(serve)
+
+
+CONFIG = click.option("--config", "path", type=click.Path(dir_okay=False), help="An operator's TOML file.")
+
+
+@main.command()
+@CONFIG
+@click.option("--log-level", default="INFO", show_default=True, help="As loguru names them.")
+def serve(path: str | None = None, log_level: str = "INFO") -> None:
+    """Serve until SIGTERM or SIGINT; then answer all that was taken and exit."""
+    set_up_log(log_level)
+    try:
+        node = Node(configuration.load(os.environ, path))
+    except (ValueError, OSError) as problem:
+        raise click.ClickException(str(problem)) from problem
+    told = threading.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: told.set())
+    node.start()
+    told.wait()
+    logger.info("told to stop")
+    node.stop()
+
+
+@main.command()
+def version() -> None:
+    """Print the version."""
+    try:
+        click.echo(metadata.version("capershelf"))
+    except metadata.PackageNotFoundError:  # run from a checkout
+        click.echo(VERSION)
+
+
+@main.command("check-config")
+@CONFIG
+def check_config(path: str | None) -> None:
+    """Read the configuration, say what it turns on, and start nothing."""
+    try:
+        found = configuration.load(os.environ, path)
+    except (ValueError, OSError) as problem:
+        raise click.ClickException(str(problem)) from problem
+    classes = ", ".join(kind.name for kind in found.settings.classes)
+    click.echo(f"{found.name}: classes {classes}; {found.planners} planner(s)")
+    click.echo(f"JSON lines: {found.listen or 'off'}")
+    click.echo(f"WebSocket: {found.websocket.listen if found.websocket else 'off'}")
+    click.echo(f"notice board: {found.board or 'off'}")
+    click.echo(f"Eureka: {found.eureka.url if found.eureka else 'off'}")
+    for name in found.unread:
+        click.echo(f"note: {name!r} is not a setting of this program")
--- /dev/null
+++ b/capershelf/config.py
@@ -0,0 +1,174 @@
+"""The settings, from the platform's file or an operator's; the one reader that both programs use."""
+
+from __future__ import annotations
+
+import json
+import tomllib
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from capershelf import interface as api
+
+REPORTS = {"piggyback": api.Reports.ANSWERS, "pull": api.Reports.PROBES, "silent": api.Reports.NONE}
+
+
+@dataclass(frozen=True, slots=True)
+class WebSocketFront:
+    """The second front, off unless an operator's file turns it on."""
+
+    listen: str
+
+
+@dataclass(frozen=True, slots=True)
+class EurekaRegistry:
+    """A Eureka registry, off unless an operator's file turns it on."""
+
+    url: str
+    app: str  # the application whose instances are the booking servers
+    own_app: str  # and the one under which this proxy registers itself; empty: it does not
+    fetch_ms: float
+    renew_ms: float
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """Everything that one signalling proxy is told."""
+
+    name: str
+    listen: str  # of the JSON-lines front; empty: off
+    seed: int
+    sockets: int
+    board: str
+    known: Any
+    settings: api.Settings
+    connect_ms: float
+    planners: int = 1
+    websocket: WebSocketFront | None = None
+    eureka: EurekaRegistry | None = None
+    unread: tuple[str, ...] = field(default=())
+
+
+def load(environ: Mapping[str, str], operator_file: str | None = None) -> Config:
+    """The configuration: NODE_CONFIG from the platform, then an operator's TOML over it.
+
+    ValueError says in one line what is missing or senseless.
+    """
+    table: dict[str, Any] = {}
+    if path := environ.get("NODE_CONFIG"):
+        try:
+            table = json.loads(Path(path).read_text())
+        except OSError as problem:
+            raise ValueError(f"NODE_CONFIG: {problem}") from problem
+    if operator_file is not None:
+        try:
+            table |= tomllib.loads(Path(operator_file).read_text())
+        except OSError as problem:
+            raise ValueError(f"operator file: {problem}") from problem
+    if not table:
+        raise ValueError("no configuration: set NODE_CONFIG or give --config FILE")
+    if not isinstance(table, dict):
+        raise ValueError("the configuration is not an object")
+    return read(table, environ)
+
+
+def read(table: dict[str, Any], environ: Mapping[str, str]) -> Config:
+    info = _need(table, "", "settings")
+    planners = int(_number(table, "", "planners", 1.0))
+    if not 1 <= planners <= 4:
+        raise ValueError("planners must be 1 to 4: each holds one link to each booking server")
+    seed = table.get("seed", "0")
+    try:
+        seed_number = int(seed, 16) if isinstance(seed, str) else int(seed)
+    except (TypeError, ValueError):
+        raise ValueError(f"seed must be hex digits, not {seed!r}") from None
+    websocket = eureka = None
+    if (ws := table.get("websocket")) is not None:
+        websocket = WebSocketFront(str(_need(ws, "websocket.", "listen")))
+    if (eu := table.get("eureka")) is not None:
+        eureka = EurekaRegistry(
+            str(_need(eu, "eureka.", "url")), str(_need(eu, "eureka.", "app")), str(eu.get("own-app", "")),
+            _number(eu, "eureka.", "fetch", 5000.0), _number(eu, "eureka.", "renew", 30000.0),
+        )
+    known = {"name", "listen", "seed", "limits", "board", "known", "settings", "planners", "websocket",
+             "eureka"}
+    return Config(
+        name=str(table.get("name") or environ.get("NODE_NAME") or "capershelf"),
+        listen=str(table.get("listen", environ.get("NODE_LISTEN", ""))),
+        seed=seed_number,
+        sockets=int(_number(table.get("limits") or {}, "limits.", "sockets", 1024.0)),
+        board=str(table.get("board") or ""),
+        known=table.get("known") or {"rev": 0, "notices": []},
+        settings=read_settings(info),
+        connect_ms=_number(_need(info, "settings.", "bounds"), "bounds.", "connect-timeout", 500.0),
+        planners=planners,
+        websocket=websocket,
+        eureka=eureka,
+        unread=tuple(sorted(set(table) - known)),
+    )
+
+
+def _need(table: dict[str, Any], path: str, key: str) -> Any:
+    if not isinstance(table, dict) or key not in table:
+        raise ValueError(f"settings lack {path}{key}")
+    return table[key]
+
+
+def _number(table: dict[str, Any], path: str, key: str, default: float | None = None) -> float:
+    value = _need(table, path, key) if default is None else table.get(key, default)
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise ValueError(f"settings: {path}{key} must be a number, not {value!r}")
+    return float(value)
+
+
+def read_settings(info: dict[str, Any]) -> api.Settings:
+    """The wire's settings as the project's own; ValueError names a key that is missing or senseless."""
+    family = _need(info, "", "family-info")
+    if family.get("topology", "groups") != "groups":
+        raise ValueError("settings: family-info.topology must be groups")
+    bounds, contract = _need(info, "", "bounds"), _need(info, "", "contract")
+    places = family.get("pools-by-class") or []
+    widths = family.get("channels-needed") or []
+    classes = []
+    for index, entry in enumerate(_need(info, "", "categories")):
+        path = f"categories[{index}]."
+        classes.append(
+            api.CallClass(
+                name=str(_need(entry, path, "name")),
+                aim_ms=_number(entry, path, "aim"),
+                deadline_ms=_number(entry, path, "deadline"),
+                worth=_number(entry, path, "credit", 1.0),
+                late_worth=_number(entry, path, "late-worth", 0.0),
+                places=tuple(places[index]) if index < len(places) else None,
+                width=int(widths[index]) if index < len(widths) else 1,
+            )
+        )
+    telemetry = info.get("telemetry") or {}
+    advice = bool(bounds.get("retry-after", False))
+    tenants = tuple(
+        api.Tenant(str(_need(t, f"tenants[{i}].", "name")), _number(t, f"tenants[{i}].", "quota-per-s"))
+        for i, t in enumerate(info.get("tenants") or [])
+    )
+    return api.Settings(
+        gateway_no=int(_number(info, "", "slot-no")),
+        gateway_count=int(_number(info, "", "group-size")),
+        classes=tuple(classes),
+        cold_from=_number(contract, "contract.", "cold-from"),
+        ramp_ms=_number(contract, "contract.", "ramp-time"),
+        fall_multiple=_number(contract, "contract.", "tip-multiple"),
+        fall_ms=_number(contract, "contract.", "fall"),
+        release_ms=_number(family, "family-info.", "release"),
+        drain_grace_ms=_number(contract, "contract.", "drain-grace", 0.0),
+        answer_slack_ms=_number(contract, "contract.", "answer-slack", 0.0),
+        tick_ms=_number(info, "", "period", 0.0),
+        max_attempts=int(_number(bounds, "bounds.", "max-attempts")),
+        resend_ms=_number(family, "family-info.", "t1", 0.0),
+        tenants=tenants,
+        over_quota_worth=_number(info, "", "over-share-worth", 1.0),
+        may_cancel=bool(bounds.get("cancel", False)),
+        may_probe=bool(bounds.get("may-probe", False)),
+        retry_after_max_ms=_number(bounds, "bounds.", "max-retry-after", 0.0) if advice else 0.0,
+        reports=REPORTS.get(str(telemetry.get("via", "silent")), api.Reports.NONE),
+        states_wait=bool(family.get("says-wait", False)),
+    )
--- /dev/null
+++ b/capershelf/core/clock.py
@@ -0,0 +1,92 @@
+"""The clock, and the queue that waits by it.
+
+Times are Unix milliseconds.  A deadline is a time on this clock; nothing in this program hands a time-out on.
+"""
+
+from __future__ import annotations
+
+import math
+import queue
+import threading
+import time
+from typing import Generic, Protocol, TypeVar
+
+T = TypeVar("T")
+
+
+class Clock(Protocol):
+    """What tells the time and waits by it."""
+
+    def now_ms(self) -> float: ...
+
+    def watch(self, inbox: Inbox[T]) -> None:
+        """Have the inbox looked at again whenever this clock is moved by hand."""
+
+    def seconds_until(self, deadline_ms: float) -> float | None:
+        """Real seconds to sleep for, None to sleep until woken."""
+
+
+class SystemClock:
+    """The machine's Unix clock, held where it is when the machine's is set back."""
+
+    def __init__(self) -> None:
+        self._last_ms = 0.0
+        self._lock = threading.Lock()
+
+    def now_ms(self) -> float:
+        with self._lock:
+            self._last_ms = max(self._last_ms, time.time() * 1000.0)
+            return self._last_ms
+
+    def watch(self, inbox: Inbox[T]) -> None:
+        """Nobody moves this clock by hand."""
+
+    def seconds_until(self, deadline_ms: float) -> float | None:
+        if deadline_ms == math.inf:
+            return None
+        return min(3600.0, max(0.0, (deadline_ms - self.now_ms()) / 1000.0))
+
+
+class ManualClock:
+    """A clock that stands still until it is advanced."""
+
+    def __init__(self, now_ms: float = 1_000_000.0) -> None:
+        self._now_ms = now_ms
+        self._watchers: list[Inbox[object]] = []
+
+    def now_ms(self) -> float:
+        return self._now_ms
+
+    def watch(self, inbox: Inbox[T]) -> None:
+        self._watchers.append(inbox)  # type: ignore[arg-type]  # only ever woken
+
+    def seconds_until(self, deadline_ms: float) -> float | None:
+        return 0.0 if deadline_ms <= self._now_ms else None
+
+    def advance(self, by_ms: float) -> None:
+        self._now_ms += by_ms
+        for inbox in self._watchers:
+            inbox.wake()
+
+
+class Inbox(Generic[T]):
+    """The one way into a thread that owns something: any thread puts, the owner takes."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._queue: queue.SimpleQueue[T | None] = queue.SimpleQueue()
+        clock.watch(self)
+
+    def put(self, item: T) -> None:
+        self._queue.put(item)
+
+    def wake(self) -> None:
+        self._queue.put(None)
+
+    def take(self, deadline_ms: float) -> T | None:
+        """The next item; None at the deadline, or when woken to look at the clock again."""
+        seconds = self._clock.seconds_until(deadline_ms)
+        try:
+            return self._queue.get(timeout=seconds) if seconds != 0.0 else self._queue.get_nowait()
+        except queue.Empty:
+            return None
--- /dev/null
+++ b/capershelf/core/model.py
@@ -0,0 +1,238 @@
+"""What the core deals in: requests for a call, attempts at booking servers, outcomes for callers.
+
+A front turns what its wire says into these and back; the core knows no wire.
+"""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import Protocol
+
+from capershelf.interface import ListedServer, Report, Result, Why
+
+NORMAL = 16  # causes that core and fronts agree on, with the numbers that the field gives them
+FULL = 34
+FAILED = 17
+CUT = 41
+INVALID = 100
+
+
+@dataclass(frozen=True, slots=True)
+class SetUp:
+    """A caller's request; what a booking server is to see of it passes unchanged."""
+
+    id: str
+    call_class: str
+    expires_ms: float  # absolute
+    number: str
+    description: str
+    far_end: int = -1
+    width: int = 1
+
+    @property
+    def key(self) -> int:
+        return int(self.id, 16)
+
+
+@dataclass(frozen=True, slots=True)
+class Answered:
+    """Outcome: the call stands, with the booking server's description as it was given."""
+
+    id: str
+    description: str
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """Outcome: not now; wait_ms tells the caller how long to stay away (0: not told)."""
+
+    id: str
+    wait_ms: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Failed:
+    """Outcome: given up for good."""
+
+    id: str
+    cause: int = FAILED
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """Not an outcome: a call that stood is over."""
+
+    id: str
+    cause: int
+
+
+Word = Answered | Refused | Failed | Ended
+
+
+class Caller(Protocol):
+    """The way back to whoever asked; a connection owns no call that stands."""
+
+    outlived: bool  # a call still being set up outlives this connection, for its caller to come back to
+
+    def tell(self, word: Word) -> bool:
+        """Pass the word on; False when it can no longer be."""
+
+
+class Servers(Protocol):
+    """The ways to the booking servers, as one planner has them.  Nothing here waits."""
+
+    def open(self, server: str, endpoint: str) -> None: ...
+
+    def close(self, server: str) -> None: ...
+
+    def wake(self, server: str) -> None:
+        """Somebody needs this link now: try to connect at once."""
+
+    def set_up(self, server: str, epoch: int, request: SetUp, left_ms: float) -> None: ...
+
+    def release(self, server: str, call_id: str, cause: int) -> None: ...
+
+    def probe(self, server: str, epoch: int, token: str) -> None: ...
+
+
+class State(Enum):
+    """Where a call is in its life here."""
+
+    OPEN = "open"  # its one outcome is owed
+    STANDS = "stands"
+    OVER = "over"
+
+
+@dataclass(slots=True)
+class Attempt:
+    """One sending of a call to a booking server; epoch names the connection it went out on, once it did."""
+
+    number: int
+    server: str
+    sent_ms: float
+    deadline_ms: float
+    connect_by_ms: float
+    epoch: int | None = None
+    over: bool = False
+
+
+@dataclass(slots=True)
+class Call:
+    """A call in the table; caller is None while its connection is lost."""
+
+    request: SetUp
+    caller: Caller | None
+    state: State = State.OPEN
+    attempts: int = 0
+    attempt: Attempt | None = None
+    server: str = ""  # where it stands
+    answer: Word | None = None  # while it stands, for a caller whose connection broke under it
+    unheard: Word | None = None  # what its caller has not been told for want of a connection
+
+
+@dataclass(slots=True)
+class ServerState:
+    """A booking server as the planner knows it."""
+
+    id: str
+    endpoint: str
+    epoch: int | None = None  # the open connection's number
+    down_ms: float = math.inf  # since when there is none
+    gone: bool = False
+    calls: dict[int, Call] = field(default_factory=dict)  # out at it or standing there
+
+
+# What comes into a planner's inbox.
+
+
+@dataclass(frozen=True, slots=True)
+class SetUpCame:
+    request: SetUp
+    caller: Caller
+
+
+@dataclass(frozen=True, slots=True)
+class CallerReleased:
+    id: str
+    cause: int
+    caller: Caller
+
+
+@dataclass(frozen=True, slots=True)
+class CallerLost:
+    caller: Caller
+
+
+@dataclass(frozen=True, slots=True)
+class ServerAnswered:
+    server: str
+    id: str
+    description: str
+    report: Report | None
+
+
+@dataclass(frozen=True, slots=True)
+class ServerReleased:
+    server: str
+    id: str
+    cause: int
+    result: Result  # what the release means for a call still being set up
+    why: Why
+    report: Report | None
+
+
+@dataclass(frozen=True, slots=True)
+class ServerTold:
+    """A report: unasked where token is empty, else the answer to that probe."""
+
+    server: str
+    report: Report
+    token: str = ""
+    passed: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class LinkUp:
+    server: str
+    epoch: int
+
+
+@dataclass(frozen=True, slots=True)
+class LinkDown:
+    """A connection broke (epoch) or never came up (None); refused proves that nobody listens there."""
+
+    server: str
+    epoch: int | None
+    refused: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Located:
+    """A listed server with its address."""
+
+    listed: ListedServer
+    endpoint: str
+
+
+@dataclass(frozen=True, slots=True)
+class News:
+    """What a registry tells; whole: what is not in it is gone."""
+
+    version: int
+    whole: bool
+    servers: tuple[Located, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Stop:
+    """Answer what is owed, then end."""
+
+    by_ms: float
+
+
+Event = (
+    SetUpCame | CallerReleased | CallerLost | ServerAnswered | ServerReleased | ServerTold | LinkUp | LinkDown
+    | News | Stop
+)
--- /dev/null
+++ b/capershelf/core/planner.py
@@ -0,0 +1,436 @@
+"""A planner: one thread that owns a Controller, the call table and the timers.
+
+Everything reaches it through its inbox.  It turns events into the module's, carries the module's actions out,
+ends each attempt once and gives each call one outcome; it decides nothing of its own but what the rules on
+sockets leave no choice in (a lost link, a deadline, a caller that left).
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import math
+from collections import deque
+from collections.abc import Callable
+
+from loguru import logger
+
+from capershelf import interface as api
+from capershelf.control import Controller
+from capershelf.core import model as m
+from capershelf.core.clock import Clock, Inbox
+
+DEADLINE_MARGIN_MS = 15.0  # an outcome sets out so long before its caller leaves
+LOST_AFTER_MS = 4000.0  # calls that stood at a server out of reach for so long are taken to be cut
+REMOVED_AFTER_MS = 1000.0  # and those at one that the list has dropped, after this
+UNHEARD_MS = 8000.0  # the end of a call is kept so long for a caller without a connection
+
+
+class Planner:
+    """Owns the decisions for its part of the calls."""
+
+    def __init__(
+        self, settings: api.Settings, seed: int, clock: Clock, connect_ms: float, name: str = "planner"
+    ) -> None:
+        self.name = name
+        self.clock = clock
+        self.inbox: Inbox[m.Event] = Inbox(clock)
+        self.servers: m.Servers
+        self._settings = settings
+        self._classes = {kind.name: kind for kind in settings.classes}
+        self._controller = Controller(settings, seed)
+        self._connect_ms = connect_ms
+        self._calls: dict[int, m.Call] = {}
+        self._known: dict[str, m.ServerState] = {}
+        self._probes: dict[str, str] = {}
+        self._todo: deque[api.Event] = deque()
+        self._timers: list[tuple[float, int, Callable[[], None]]] = []
+        self._count = itertools.count(1)
+        self._stop: m.Stop | None = None
+        self.open_calls = 0
+
+    # -- the loop -------------------------------------------------------------------------------------
+    def run(self) -> None:
+        """Serve until told to stop and nothing is owed."""
+        while not self.finished():
+            self.step()
+
+    def step(self) -> None:
+        """Take one event or wait for the earliest deadline; then fire what is due."""
+        event = self.inbox.take(self._timers[0][0] if self._timers else math.inf)
+        if event is not None:
+            try:
+                self.take(event)
+            except Exception:  # one bad event must not take the thread that everything rests on
+                logger.exception("{}: event {} could not be dealt with", self.name, type(event).__name__)
+        now_ms = self.clock.now_ms()
+        while self._timers and self._timers[0][0] <= now_ms:
+            _, _, fire = heapq.heappop(self._timers)
+            try:
+                fire()
+            except Exception:  # as above
+                logger.exception("{}: a timer could not be dealt with", self.name)
+
+    def finished(self) -> bool:
+        if self._stop is None or self.open_calls:
+            return False
+        return not self._calls or self.clock.now_ms() >= self._stop.by_ms
+
+    def at(self, when_ms: float, fire: Callable[[], None]) -> None:
+        heapq.heappush(self._timers, (when_ms, next(self._count), fire))
+
+    def take(self, event: m.Event) -> None:
+        match event:
+            case m.SetUpCame():
+                self._set_up(event.request, event.caller)
+            case m.CallerReleased():
+                self._caller_released(event)
+            case m.CallerLost():
+                self._caller_lost(event.caller)
+            case m.ServerAnswered():
+                self._answered(event)
+            case m.ServerReleased():
+                self._server_released(event)
+            case m.ServerTold():
+                self._told(event)
+            case m.LinkUp():
+                self._link_up(event)
+            case m.LinkDown():
+                self._link_down(event)
+            case m.News():
+                self._news(event)
+            case m.Stop():
+                self._stop = event
+                self.at(event.by_ms, lambda: None)
+
+    # -- callers --------------------------------------------------------------------------------------
+    def _set_up(self, request: m.SetUp, caller: m.Caller) -> None:
+        known = self._calls.get(request.key)
+        if known is not None:
+            self._come_back(known, caller)
+            return
+        now_ms = self.clock.now_ms()
+        if request.call_class not in self._classes:
+            logger.warning("call {}: unknown class {!r}", request.id, request.call_class)
+            caller.tell(m.Failed(request.id, m.INVALID))
+            return
+        call = self._calls[request.key] = m.Call(request, caller)
+        self.open_calls += 1
+        # Guards against a call without an outcome, whatever the module does: the last word is here.
+        self.at(request.expires_ms, lambda: self._expire(call))
+        expires_ms = max(now_ms, request.expires_ms - DEADLINE_MARGIN_MS)
+        self._feed(api.NewCall(
+            request.key, expires_ms, request.call_class, request.far_end, request.number, None, request.width
+        ))
+
+    def _come_back(self, call: m.Call, caller: m.Caller) -> None:
+        """A set-up with the id of a call that is here: its caller has come back; never a new attempt."""
+        if call.caller is caller:
+            logger.warning("call {}: set-up repeated on its connection, ignored", call.request.id)
+            return
+        logger.info("call {}: its caller is back, {}", call.request.id, call.state.value)
+        if call.caller is None and call.state is m.State.STANDS and caller.outlived:
+            call.unheard = call.answer  # a caller that asks again has not seen it
+        call.caller = caller
+        if call.unheard is not None and caller.tell(call.unheard):
+            call.unheard = None
+            if call.state is m.State.OVER:
+                self._calls.pop(call.request.key, None)
+
+    def _caller_released(self, event: m.CallerReleased) -> None:
+        call = self._calls.get(int(event.id, 16))
+        if call is None or call.state is m.State.OVER:
+            return
+        if call.state is m.State.OPEN:
+            self._leave(call)
+        else:
+            self.servers.release(call.server, call.request.id, event.cause)
+            self._end_standing(call, api.Result.OK)
+
+    def _caller_lost(self, caller: m.Caller) -> None:
+        for call in [call for call in self._calls.values() if call.caller is caller]:
+            call.caller = None
+            if call.state is m.State.OPEN and not caller.outlived:
+                self._leave(call)
+
+    def _leave(self, call: m.Call) -> None:
+        """The caller has given the set-up up: nothing is owed, and nothing may be left out."""
+        self._latch(call)
+        self._end_attempt(call, api.Result.CANCELLED, settled=True)
+        self._feed(api.CallerGone(call.request.key))
+        self._forget(call)
+
+    def _expire(self, call: m.Call) -> None:
+        """The caller's time is over."""
+        if call.state is m.State.OPEN:
+            logger.warning("call {}: no outcome by its deadline", call.request.id)
+            self._latch(call)
+            self._end_attempt(call, api.Result.TIMEOUT, settled=True)
+            self._feed(api.CallerGone(call.request.key))
+            self._forget(call)
+            self._say(call, m.Refused(call.request.id))
+        elif call.state is m.State.STANDS and isinstance(call.unheard, m.Answered):
+            # Its caller never came back for the answer: what stands is released, once.
+            self.servers.release(call.server, call.request.id, m.NORMAL)
+            self._end_standing(call, api.Result.OK)
+
+    def _latch(self, call: m.Call) -> bool:
+        """Whether the call's one outcome is still to be given; it counts as given from here on."""
+        if call.state is not m.State.OPEN:
+            return False
+        call.state = m.State.OVER
+        self.open_calls -= 1
+        return True
+
+    def _say(self, call: m.Call, word: m.Word) -> bool:
+        if call.caller is not None and call.caller.tell(word):
+            return True
+        call.caller = None
+        return False
+
+    def _final(self, call: m.Call, word: m.Refused | m.Failed) -> None:
+        """A final answer goes out at once; for a caller out of reach it is kept until its time is over."""
+        if not self._latch(call):
+            return
+        self._forget(call)
+        if not self._say(call, word):
+            call.unheard = word
+            self._calls[call.request.key] = call
+            self.at(call.request.expires_ms, lambda: self._forget(call))
+
+    # -- booking servers ------------------------------------------------------------------------------
+    def _answered(self, event: m.ServerAnswered) -> None:
+        now_ms = self.clock.now_ms()
+        call = self._calls.get(int(event.id, 16))
+        attempt = call.attempt if call is not None else None
+        if call is None or attempt is None or attempt.over or attempt.server != event.server:
+            if call is None or call.state is not m.State.STANDS or call.server != event.server:
+                # Guards against a call that stands for nobody: it was given up while this was on its way.
+                self.servers.release(event.server, event.id, m.NORMAL)
+            return
+        attempt.over = True
+        call.attempt = None
+        if not self._latch(call):
+            return
+        call.state = m.State.STANDS
+        call.server = event.server
+        call.answer = m.Answered(event.id, event.description)
+        if not self._say(call, call.answer):
+            call.unheard = call.answer
+        self._feed(api.Stands(call.request.key, attempt.number, event.server, now_ms - attempt.sent_ms))
+        if event.report is not None:
+            self._feed(api.ServerReport(event.server, api.Result.OK, event.report, False))
+
+    def _server_released(self, event: m.ServerReleased) -> None:
+        call = self._calls.get(int(event.id, 16))
+        if call is None:
+            return
+        if call.state is m.State.STANDS and call.server == event.server:
+            result = api.Result.RESET if event.cause == m.CUT else api.Result.OK
+            self._end_standing(call, result, event.cause, event.report)
+        elif call.attempt is not None and call.attempt.server == event.server:
+            self._end_attempt(call, event.result, event.why, event.report)
+
+    def _told(self, event: m.ServerTold) -> None:
+        if event.token and self._probes.pop(event.token, None) is None:
+            return
+        result = api.Result.OK if event.passed else api.Result.ERROR
+        self._feed(api.ServerReport(event.server, result, event.report, bool(event.token)))
+
+    def _end_standing(
+        self, call: m.Call, result: api.Result, tell: int | None = None, report: api.Report | None = None
+    ) -> None:
+        """A call that stood is over; tell is the cause for a caller that has not ended it itself."""
+        call.state = m.State.OVER
+        server, number = call.server, call.attempts - 1
+        self._forget(call)
+        word = m.Ended(call.request.id, tell if tell is not None else m.NORMAL)
+        if tell is not None and not self._say(call, word):
+            call.unheard = word
+            self._calls[call.request.key] = call
+            self.at(self.clock.now_ms() + UNHEARD_MS, lambda: self._forget(call))
+        self._feed(api.AttemptOver(call.request.key, number, server, result, True, report=report))
+
+    def _end_attempt(
+        self, call: m.Call, result: api.Result, why: api.Why = api.Why.UNSAID,
+        report: api.Report | None = None, settled: bool = False,
+    ) -> None:
+        """End the attempt that is out, once, whichever of its ends comes first."""
+        attempt = call.attempt
+        if attempt is None or attempt.over:
+            return
+        attempt.over = True
+        call.attempt = None
+        if (server := self._known.get(attempt.server)) is not None:
+            server.calls.pop(call.request.key, None)
+        if attempt.epoch is not None and result in (api.Result.TIMEOUT, api.Result.CANCELLED):
+            self.servers.release(attempt.server, call.request.id, m.NORMAL)
+        self._feed(api.AttemptOver(
+            call.request.key, attempt.number, attempt.server, result, settled, why, None, report
+        ))
+
+    def _forget(self, call: m.Call) -> None:
+        if self._calls.get(call.request.key) is call:
+            del self._calls[call.request.key]
+        for server_id in {call.server, call.attempt.server if call.attempt else ""}:
+            if (server := self._known.get(server_id)) is not None:
+                server.calls.pop(call.request.key, None)
+
+    # -- links ----------------------------------------------------------------------------------------
+    def _link_up(self, event: m.LinkUp) -> None:
+        if (server := self._known.get(event.server)) is None:
+            return
+        server.epoch, server.down_ms = event.epoch, math.inf
+        for call in list(server.calls.values()):
+            if call.attempt is not None and call.attempt.epoch is None and call.state is m.State.OPEN:
+                self._dispatch(call, call.attempt, server)
+
+    def _link_down(self, event: m.LinkDown) -> None:
+        if (server := self._known.get(event.server)) is None:
+            return
+        now_ms = self.clock.now_ms()
+        if event.epoch is not None and event.epoch == server.epoch:
+            server.epoch = None
+            server.down_ms = now_ms
+            self.at(now_ms + LOST_AFTER_MS, lambda: self._cut_if_lost(server))
+        for call in list(server.calls.values()):
+            attempt = call.attempt
+            if attempt is not None and call.state is m.State.OPEN:
+                if event.epoch is not None and attempt.epoch == event.epoch:
+                    self._end_attempt(call, api.Result.RESET)
+                elif event.epoch is None and attempt.epoch is None:
+                    self._end_attempt(call, api.Result.NO_CONNECTION)
+            elif call.state is m.State.STANDS and event.refused:
+                # Nobody listens there any more: the process died, and its calls with it.
+                self._end_standing(call, api.Result.RESET, m.CUT)
+
+    def _cut_if_lost(self, server: m.ServerState) -> None:
+        """Guards against callers left on calls at a server that vanished without a word."""
+        if server.epoch is None and self.clock.now_ms() - server.down_ms >= LOST_AFTER_MS - 1.0:
+            self._cut_all(server)
+
+    def _cut_all(self, server: m.ServerState) -> None:
+        for call in list(server.calls.values()):
+            if call.state is m.State.STANDS:
+                self._end_standing(call, api.Result.RESET, m.CUT)
+
+    def _news(self, event: m.News) -> None:
+        named = {located.listed.server for located in event.servers}
+        for located in event.servers:
+            listed = located.listed
+            server = self._known.get(listed.server)
+            if listed.standing is api.Standing.GONE:
+                if server is not None:
+                    self._gone(server)
+            elif server is None or server.gone or server.endpoint != located.endpoint:
+                if server is None:
+                    server = self._known[listed.server] = m.ServerState(listed.server, located.endpoint)
+                server.endpoint, server.gone = located.endpoint, False
+                self.servers.open(listed.server, located.endpoint)
+        if event.whole:
+            for server in list(self._known.values()):
+                if server.id not in named:
+                    self._gone(server)
+        self._feed(api.ServerList(event.version, event.whole, tuple(s.listed for s in event.servers)))
+
+    def _gone(self, server: m.ServerState) -> None:
+        if server.gone:
+            return
+        server.gone = True
+
+        def clear() -> None:
+            if server.gone:
+                self._cut_all(server)
+                if server.calls:  # a set-up is still out there: it ends by its own deadline first
+                    self.at(self.clock.now_ms() + REMOVED_AFTER_MS, clear)
+                    return
+                self.servers.close(server.id)
+                self._known.pop(server.id, None)
+
+        self.at(self.clock.now_ms() + REMOVED_AFTER_MS, clear)
+
+    # -- the module -----------------------------------------------------------------------------------
+    def _feed(self, event: api.Event) -> None:
+        """Hand the module an event and carry its actions out; what those bring about comes after."""
+        self._todo.append(event)
+        if len(self._todo) > 1:
+            return
+        while self._todo:
+            try:
+                for action in self._controller.handle(self.clock.now_ms(), self._todo[0]):
+                    self._perform(action)
+            except Exception:  # a call's outcome is owed all the same: its deadline is watched here
+                logger.exception("{}: the module could not take {}", self.name, self._todo[0])
+            finally:
+                self._todo.popleft()
+
+    def _perform(self, action: api.Action) -> None:
+        match action:
+            case api.Send(key, server_id, timeout_ms):
+                self._send(key, server_id, timeout_ms)
+            case api.Refuse(key, stay_away_ms):
+                if (call := self._calls.get(key)) is not None:
+                    self._final(call, m.Refused(call.request.id, stay_away_ms))
+            case api.Fail(key):
+                if (call := self._calls.get(key)) is not None:
+                    self._final(call, m.Failed(call.request.id))
+            case api.Cancel(key, number):
+                call = self._calls.get(key)
+                if call is not None and call.attempt is not None and call.attempt.number == number:
+                    self._end_attempt(call, api.Result.CANCELLED)
+            case api.Probe(server_id):
+                self._probe(server_id)
+            case api.SetTimer(delay_ms, name):
+                self.at(self.clock.now_ms() + delay_ms, lambda: self._feed(api.TimerFired(name)))
+            case api.Log(text):
+                logger.info("{}: {}", self.name, text)
+
+    def _send(self, key: int, server_id: str, timeout_ms: float) -> None:
+        now_ms = self.clock.now_ms()
+        call = self._calls.get(key)
+        server = self._known.get(server_id)
+        if call is None or call.state is not m.State.OPEN or call.attempt is not None:
+            raise RuntimeError(f"a set-up of call {key:016x} that may not go out")
+        deadline_ms = min(now_ms + timeout_ms, call.request.expires_ms)
+        connect_by_ms = min(deadline_ms, now_ms + self._connect_ms)
+        attempt = m.Attempt(call.attempts, server_id, now_ms, deadline_ms, connect_by_ms)
+        call.attempt = attempt
+        call.attempts += 1
+        self.at(deadline_ms, lambda: self._attempt_due(call, attempt))
+        if server is None:
+            self._end_attempt(call, api.Result.NO_CONNECTION)
+            return
+        server.calls[key] = call
+        if server.epoch is not None:
+            self._dispatch(call, attempt, server)
+        else:
+            self.at(connect_by_ms, lambda: self._connect_due(call, attempt))
+            self.servers.wake(server_id)
+
+    def _dispatch(self, call: m.Call, attempt: m.Attempt, server: m.ServerState) -> None:
+        if server.epoch is not None:
+            attempt.epoch = server.epoch
+            left_ms = attempt.deadline_ms - self.clock.now_ms()
+            self.servers.set_up(server.id, server.epoch, call.request, left_ms)
+
+    def _attempt_due(self, call: m.Call, attempt: m.Attempt) -> None:
+        if call.attempt is attempt:
+            self._end_attempt(call, api.Result.TIMEOUT)
+
+    def _connect_due(self, call: m.Call, attempt: m.Attempt) -> None:
+        if call.attempt is attempt and attempt.epoch is None:
+            self._end_attempt(call, api.Result.NO_CONNECTION)
+
+    def _probe(self, server_id: str) -> None:
+        server = self._known.get(server_id)
+        if server is None or server.epoch is None:
+            self._feed(api.ServerReport(server_id, api.Result.NO_CONNECTION, api.Report(), True))
+            return
+        token = f"{next(self._count):016x}"
+        self._probes[token] = server_id
+        self.at(self.clock.now_ms() + self._connect_ms, lambda: self._probe_due(token))
+        self.servers.probe(server_id, server.epoch, token)
+
+    def _probe_due(self, token: str) -> None:
+        if (server_id := self._probes.pop(token, None)) is not None:
+            self._feed(api.ServerReport(server_id, api.Result.TIMEOUT, api.Report(), True))
--- a/capershelf/interface.py
+++ b/capershelf/interface.py
@@ -103,6 +103,11 @@
     lines: float | None = None
     wait_ms: float | None = None
 
+    @classmethod
+    def of(cls, figures: dict[str, float]) -> Report:
+        """From the figures by their names on the wires; names that are unknown are passed over."""
+        return cls(figures.get("spare"), figures.get("total"), figures.get("recent_ms"))
+
 
 # Events: what the host tells.
 
--- /dev/null
+++ b/capershelf/net/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets and parsers: connections, framings, links to booking servers, an HTTP client."""
--- /dev/null
+++ b/capershelf/node.py
@@ -0,0 +1,122 @@
+"""One signalling proxy: puts fronts, planners, links and registries together and stops them in order."""
+
+from __future__ import annotations
+
+import dataclasses
+import threading
+import time
+import zlib
+from collections.abc import Callable
+
+from loguru import logger
+
+from capershelf import interface as api
+from capershelf.config import Config
+from capershelf.core import model as m
+from capershelf.core.clock import Clock, SystemClock
+from capershelf.core.planner import Planner
+from capershelf.fronts.listener import Listener
+from capershelf.fronts.session import Session
+from capershelf.net.connection import start_thread
+from capershelf.net.framing import Lines
+from capershelf.net.links import Links
+from capershelf.registry.board import Board
+from capershelf.registry.source import Source
+
+STILL_ACCEPTING_MS = 900.0  # after SIGTERM: callers go on connecting for a while
+STANDING_MS = 9000.0  # and so long calls that stand are still passed their end
+
+
+def planner_settings(settings: api.Settings, number: int, count: int) -> api.Settings:
+    """A planner's own slot in a fleet of proxies times planners, so that the shares of each still add up."""
+    return dataclasses.replace(
+        settings,
+        gateway_no=settings.gateway_no * count + number,
+        gateway_count=settings.gateway_count * count,
+    )
+
+
+class Node:
+    """The running parts of one proxy."""
+
+    def __init__(self, config: Config, clock: Clock | None = None) -> None:
+        self.config = config
+        self.clock = clock or SystemClock()
+        self._stopping = threading.Event()
+        count = config.planners
+        self.planners = [
+            Planner(
+                planner_settings(config.settings, number, count), config.seed + number, self.clock,
+                config.connect_ms, f"planner {number}",
+            )
+            for number in range(count)
+        ]
+        for planner in self.planners:
+            planner.servers = Links(self.clock, config.connect_ms, self._from_server(planner))
+        self.fronts: list[Listener] = []
+        callers = max(1, config.sockets // 3)
+        if config.listen:
+            self.fronts.append(self._listener(config.listen, callers))
+        self.sources: list[Source] = []
+        if config.board:
+            self.sources.append(Board(config.board, config.known, self.clock, self._news))
+
+    def _listener(self, listen: str, most: int) -> Listener:
+        return Listener(listen, Lines, False, most, self.clock, self._route, self._ready, self._lost)
+
+    # -- ways into the planners -----------------------------------------------------------------------
+    def _planner_of(self, call_id: str) -> Planner:
+        if len(self.planners) == 1:
+            return self.planners[0]
+        return self.planners[zlib.crc32(call_id.lower().encode()) % len(self.planners)]
+
+    def _route(self, call_id: str) -> Callable[[m.Event], None]:
+        return self._planner_of(call_id).inbox.put
+
+    def _from_server(self, planner: Planner) -> Callable[[m.Event], None]:
+        """What a planner's link brings: a call's news goes to that call's planner, all else to the link's."""
+
+        def post(event: m.Event) -> None:
+            if isinstance(event, m.ServerAnswered | m.ServerReleased):
+                self._planner_of(event.id).inbox.put(event)
+            else:
+                planner.inbox.put(event)
+
+        return post
+
+    def _news(self, news: m.News) -> None:
+        for planner in self.planners:
+            planner.inbox.put(news)
+
+    def _lost(self, session: Session) -> None:
+        for planner in self.planners:
+            planner.inbox.put(m.CallerLost(session))
+
+    def _ready(self) -> bool:
+        return not self._stopping.is_set()
+
+    # -- life -----------------------------------------------------------------------------------------
+    def start(self) -> None:
+        for source in self.sources:
+            start_thread(source.run, "registry")
+        self._threads = [start_thread(planner.run, planner.name) for planner in self.planners]
+        for front in self.fronts:
+            front.start()
+        logger.info("{} serves on {}", self.config.name, self.config.listen or "no JSON-lines front")
+
+    def stop(self) -> None:
+        """Go on for a while, answer all that was taken, then end."""
+        self._stopping.set()
+        began_ms = self.clock.now_ms()
+        time.sleep(self.clock.seconds_until(began_ms + STILL_ACCEPTING_MS) or 0.0)
+        for front in self.fronts:
+            front.stop_accepting()
+        for planner in self.planners:
+            planner.inbox.put(m.Stop(began_ms + STANDING_MS))
+        for thread in self._threads:
+            thread.join()
+        for source in self.sources:
+            source.end()
+        for front in self.fronts:
+            front.close_all()
+        logger.info("{} has answered all it took", self.config.name)
--- /dev/null
+++ b/capershelf/registry/__init__.py
@@ -0,0 +1,1 @@
+"""Where the list of booking servers comes from."""
--- /dev/null
+++ b/capershelf/registry/source.py
@@ -0,0 +1,17 @@
+"""What every registry source is: something that tells News until it is ended."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Protocol
+
+from capershelf.core.model import News
+
+Tell = Callable[[News], None]
+
+
+class Source(Protocol):
+    def run(self) -> None:
+        """Tell what is new, until ended; a failing registry is tried again, and the last list stays."""
+
+    def end(self) -> None: ...
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from capershelf.benchlink import read_settings
+from capershelf.config import read_settings
 
 INFO = {
     "bounds": {"cancel": True, "max-attempts": 6, "may-probe": False, "news": 1},
