Look through remembered numbers only when they have doubled, not at every call

Once more than 4,000 numbers are younger than REDIAL_MS, each call looks at all of them and drops none. Ruled out: the sockets (28 to 75 callers, 6 links, no connection refused), memory (43 MB at most), the notice board. Changed: the table is looked through when it has doubled since the last look. SystemClock.now_ms, the call made most often, no longer takes a lock.

--- a/capershelf/control.py
+++ b/capershelf/control.py
@@ -66,6 +66,7 @@
 STAY = 2.0  # wait, in thresholds, for which a caller must at least stay to be sent to a server in trouble
 KEPT_LINES = 0.03  # share of a server's lines that calls of little worth leave free
 REDIAL_MS = 20000.0  # a number asked for again within this is its caller dialling again
+NUMBERS = 4000  # numbers that are remembered in any case
 BUSY_MS = 5000.0  # a number whose lines were all busy is taken to be so for this long
 BUSY_WORTH = 0.1  # worth of a call to such a number, of its class's
 QUOTA_SLACK = 1.3  # a tenant is beyond its share above so many times what the others' traffic suggests
@@ -209,6 +210,7 @@
         self.held: dict[int, Call] = {}
         self.first_asked: dict[str, float] = {}
         self.busy_until: dict[str, float] = {}
+        self.most_numbers = NUMBERS  # in first_asked, before the old ones are looked for
         self.quotas = {tenant.name: tenant.quota_per_s for tenant in settings.tenants}
         self.rates = dict.fromkeys(self.quotas, 0.0)
         self.buckets = dict.fromkeys(self.quotas, 3.0)
@@ -411,10 +413,12 @@
         if call.worth < POOR * self.least_worth or call.aim_at_ms <= self.now_ms:
             hold_ms = LATE_HOLD_MS
         call.give_up_ms = self.now_ms + hold_ms
-        if len(self.first_asked) > 4000:
+        if len(self.first_asked) > self.most_numbers:
             for table in (self.first_asked, self.busy_until):
                 for number in [n for n, at_ms in table.items() if self.now_ms - at_ms > REDIAL_MS]:
                     del table[number]
+            # Guards against a look at every number at every call, where so many are young.
+            self.most_numbers = max(NUMBERS, 2 * len(self.first_asked))
 
     def beyond_quota(self, tenant: str) -> bool:
         """Whether a tenant's call is beyond its share, by what this gateway's other traffic suggests."""
--- a/capershelf/core/clock.py
+++ b/capershelf/core/clock.py
@@ -7,7 +7,6 @@
 
 import math
 import queue
-import threading
 import time
 from typing import Generic, Protocol, TypeVar
 
@@ -31,12 +30,15 @@
 
     def __init__(self) -> None:
         self._last_ms = 0.0
-        self._lock = threading.Lock()
 
     def now_ms(self) -> float:
-        with self._lock:
-            self._last_ms = max(self._last_ms, time.time() * 1000.0)
+        # Without a lock, for it is read several times a message: threads that cross here can only leave a
+        # mark that is some microseconds old.
+        now_ms = time.time() * 1000.0
+        if now_ms < self._last_ms:
             return self._last_ms
+        self._last_ms = now_ms
+        return now_ms
 
     def watch(self, inbox: Inbox[T]) -> None:
         """Nobody moves this clock by hand."""
--- a/capershelf/core/planner.py
+++ b/capershelf/core/planner.py
@@ -47,6 +47,7 @@
         self._timers: list[tuple[float, int, Callable[[], None]]] = []
         self._count = itertools.count(1)
         self._stop: m.Stop | None = None
+        self._now_ms = 0.0
         self.open_calls = 0
 
     # -- the loop -------------------------------------------------------------------------------------
@@ -357,7 +358,9 @@
             return
         while self._todo:
             try:
-                for action in self._controller.handle(self.clock.now_ms(), self._todo[0]):
+                # The module refuses a clock that goes back.
+                self._now_ms = max(self._now_ms, self.clock.now_ms())
+                for action in self._controller.handle(self._now_ms, self._todo[0]):
                     self._perform(action)
             except Exception:  # a call's outcome is owed all the same: its deadline is watched here
                 logger.exception("{}: the module could not take {}", self.name, self._todo[0])
