--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -1,5 +1,7 @@
 """The decision module's size, and that its first lines name the interface."""
 
+from __future__ import annotations
+
 from _collections_abc import dict_items
 from pathlib import Path
 
