WebSocket framing in both roles, and a second front on it; calls outlive its sockets

Messages, outcomes and rules are those of JSON lines: both fronts share Session, and a framing cuts the bytes. A caller's lost WebSocket leaves its call open for a set-up with the same id; a JSON-lines caller gives its calls up as the protocol says. Links speak WebSocket to endpoints that begin with ws://.

--- a/capershelf/core/model.py
+++ b/capershelf/core/model.py
@@ -75,6 +75,10 @@
     """The way back to whoever asked; a connection owns no call that stands."""
 
     outlived: bool  # a call still being set up outlives this connection, for its caller to come back to
+    host: str
+
+    def elsewhere(self) -> Caller | None:
+        """Another open connection of the same caller, where a front takes any of them."""
 
     def tell(self, word: Word) -> bool:
         """Pass the word on; False when it can no longer be."""
@@ -124,6 +128,7 @@
 
     request: SetUp
     caller: Caller | None
+    lost_host: str = ""  # of a caller whose connection is gone, where any of its connections will do
     state: State = State.OPEN
     attempts: int = 0
     attempt: Attempt | None = None
@@ -160,6 +165,11 @@
     caller: Caller
 
 
+@dataclass(frozen=True, slots=True)
+class CallerCame:
+    caller: Caller
+
+
 @dataclass(frozen=True, slots=True)
 class CallerLost:
     caller: Caller
@@ -233,6 +243,6 @@
 
 
 Event = (
-    SetUpCame | CallerReleased | CallerLost | ServerAnswered | ServerReleased | ServerTold | LinkUp | LinkDown
-    | News | Stop
+    SetUpCame | CallerReleased | CallerCame | CallerLost | ServerAnswered | ServerReleased | ServerTold
+    | LinkUp | LinkDown | News | Stop
 )
--- a/capershelf/core/planner.py
+++ b/capershelf/core/planner.py
@@ -41,6 +41,7 @@
         self._controller = Controller(settings, seed)
         self._connect_ms = connect_ms
         self._calls: dict[int, m.Call] = {}
+        self._unheard: dict[int, m.Call] = {}  # ended, and not yet told to a caller
         self._known: dict[str, m.ServerState] = {}
         self._probes: dict[str, str] = {}
         self._todo: deque[api.Event] = deque()
@@ -86,6 +87,8 @@
                 self._set_up(event.request, event.caller)
             case m.CallerReleased():
                 self._caller_released(event)
+            case m.CallerCame():
+                self._caller_came(event.caller)
             case m.CallerLost():
                 self._caller_lost(event.caller)
             case m.ServerAnswered():
@@ -136,7 +139,7 @@
         if call.unheard is not None and caller.tell(call.unheard):
             call.unheard = None
             if call.state is m.State.OVER:
-                self._calls.pop(call.request.key, None)
+                self._forget(call)
 
     def _caller_released(self, event: m.CallerReleased) -> None:
         call = self._calls.get(int(event.id, 16))
@@ -148,11 +151,22 @@
             self.servers.release(call.server, call.request.id, event.cause)
             self._end_standing(call, api.Result.OK)
 
+    def _caller_came(self, caller: m.Caller) -> None:
+        """A new connection is told of the ends that its host has not heard; no connection owns a call."""
+        if caller.outlived or not self._unheard:
+            return
+        for call in [c for c in self._unheard.values() if c.lost_host == caller.host]:
+            if call.unheard is not None and caller.tell(call.unheard):
+                self._forget(call)
+
     def _caller_lost(self, caller: m.Caller) -> None:
         for call in [call for call in self._calls.values() if call.caller is caller]:
-            call.caller = None
             if call.state is m.State.OPEN and not caller.outlived:
                 self._leave(call)
+            elif caller.outlived or call.state is m.State.OPEN:
+                call.caller = None
+            else:
+                call.caller, call.lost_host = caller.elsewhere(), caller.host
 
     def _leave(self, call: m.Call) -> None:
         """The caller has given the set-up up: nothing is owed, and nothing may be left out."""
@@ -184,9 +198,12 @@
         return True
 
     def _say(self, call: m.Call, word: m.Word) -> bool:
-        if call.caller is not None and call.caller.tell(word):
-            return True
-        call.caller = None
+        if (caller := call.caller) is not None:
+            if caller.tell(word):
+                return True
+            if isinstance(word, m.Ended) and (other := caller.elsewhere()) is not None and other.tell(word):
+                return True
+            call.caller, call.lost_host = None, "" if caller.outlived else caller.host
         return False
 
     def _final(self, call: m.Call, word: m.Refused | m.Failed) -> None:
@@ -248,7 +265,7 @@
         word = m.Ended(call.request.id, tell if tell is not None else m.NORMAL)
         if tell is not None and not self._say(call, word):
             call.unheard = word
-            self._calls[call.request.key] = call
+            self._calls[call.request.key] = self._unheard[call.request.key] = call
             self.at(self.clock.now_ms() + UNHEARD_MS, lambda: self._forget(call))
         self._feed(api.AttemptOver(call.request.key, number, server, result, True, report=report))
 
@@ -273,6 +290,7 @@
     def _forget(self, call: m.Call) -> None:
         if self._calls.get(call.request.key) is call:
             del self._calls[call.request.key]
+        self._unheard.pop(call.request.key, None)
         for server_id in {call.server, call.attempt.server if call.attempt else ""}:
             if (server := self._known.get(server_id)) is not None:
                 server.calls.pop(call.request.key, None)
--- a/capershelf/fronts/listener.py
+++ b/capershelf/fronts/listener.py
@@ -9,29 +9,35 @@
 
 from loguru import logger
 
-from capershelf.core import model as m
 from capershelf.core.clock import Clock
 from capershelf.fronts.session import Route, Session
 from capershelf.net.connection import parse_endpoint, start_thread
 from capershelf.net.framing import Framing
 
+TURNED_AWAY = 8  # callers over the limit that may be told so at a time; the next are hung up on
+
 
 class Listener:
-    """A listening socket and the sessions that came in on it."""
+    """A listening socket and the sessions that came in on it.
+
+    framing makes one for a new caller: it is told whether the front is full, and None means to hang up.
+    """
 
     def __init__(
         self,
         listen: str,
-        framing: Callable[[], Framing],
+        framing: Callable[[bool], Framing | None],
         outlived: bool,
         most: int,
         clock: Clock,
         route: Route,
         ready: Callable[[], bool],
+        came: Callable[[Session], None],
         lost: Callable[[Session], None],
     ) -> None:
         self._framing, self._outlived, self._most = framing, outlived, most
-        self._clock, self._route, self._ready, self._lost = clock, route, ready, lost
+        self._clock, self._route, self._ready = clock, route, ready
+        self._came, self._lost = came, lost
         self._sessions: set[Session] = set()
         self._lock = threading.Lock()
         host, port = parse_endpoint(listen)
@@ -58,18 +64,18 @@
 
     def _admit(self, sock: socket.socket, name: str) -> None:
         with self._lock:
-            full = len(self._sessions) >= self._most
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            connected = len(self._sessions)
+        full = connected >= self._most
+        framing = self._framing(full) if connected < self._most + TURNED_AWAY else None
         if full:
-            logger.warning("{}: turned away, {} callers are connected", name, self._most)
-            with contextlib.suppress(OSError):
-                framing = self._framing()
-                sock.send(framing.farewell(1013, "full"), socket.MSG_DONTWAIT)
-                framing.done()
+            logger.warning("{}: turned away, {} callers are connected", name, connected)
+        if framing is None:
             sock.close()
             return
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         session = Session(
-            sock, self._framing(), name, self._outlived, self._clock, self._route, self._ready, self._ended
+            sock, framing, name, self._outlived, self._clock, self._route, self._ready, self._came,
+            self._ended, self._peer_of,
         )
         with self._lock:
             self._sessions.add(session)
@@ -80,10 +86,8 @@
             self._sessions.discard(session)
         self._lost(session)
 
-    def peer_of(self, caller: m.Caller) -> Session | None:
+    def _peer_of(self, caller: Session) -> Session | None:
         """Another open session of the same caller host."""
-        if not isinstance(caller, Session):
-            return None
         with self._lock:
             return next((s for s in self._sessions if s is not caller and s.host == caller.host), None)
 
--- a/capershelf/fronts/session.py
+++ b/capershelf/fronts/session.py
@@ -13,6 +13,7 @@
 from capershelf.net.connection import Connection
 from capershelf.net.framing import Framing
 
+HANDSHAKE_MS = 3000.0  # a caller has so long to finish a front's handshake
 Route = Callable[[str], Callable[[m.Event], None]]
 
 
@@ -31,13 +32,22 @@
         clock: Clock,
         route: Route,
         ready: Callable[[], bool],
+        came: Callable[[Session], None],
         on_closed: Callable[[Session], None],
+        elsewhere: Callable[[Session], Session | None],
     ) -> None:
         self.name = name
         self.outlived = outlived
         self.host = name.rpartition(":")[0]
         self._clock, self._route, self._ready, self._closed = clock, route, ready, on_closed
-        self.connection = Connection(sock, framing, self._message, self._ended, name)
+        self._elsewhere = elsewhere
+        self.connection = Connection(
+            sock, framing, self._message, self._ended, name, clock, clock.now_ms() + HANDSHAKE_MS,
+            lambda: came(self),
+        )
+
+    def elsewhere(self) -> m.Caller | None:
+        return None if self.outlived else self._elsewhere(self)
 
     def tell(self, word: m.Word) -> bool:
         return self.connection.post(vocabulary.word_bytes(word))
--- a/capershelf/net/connection.py
+++ b/capershelf/net/connection.py
@@ -18,6 +18,7 @@
 from capershelf.net.framing import Framing, OverError, Reply
 
 OUTBOX_BYTES = 256 * 1024
+DRAIN_MS = 1000.0  # a peer that was told goodbye may take so long to hang up
 STACK_BYTES = 256 * 1024
 
 
@@ -40,15 +41,26 @@
 def connect(endpoint: str, clock: Clock, deadline_ms: float) -> socket.socket:
     """A connected socket by the deadline, or an OSError."""
     host, port = parse_endpoint(endpoint)
-    # The one place where the deadline has to become the socket's own time-out.
-    sock = socket.create_connection((host, port), max(0.001, clock.seconds_until(deadline_ms) or 0.0))
+    left = clock.seconds_until(deadline_ms)
+    if left == 0.0:
+        raise TimeoutError("the deadline is over")
+    sock = socket.create_connection((host, port), left)
     sock.settimeout(None)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     return sock
 
 
+def bound(sock: socket.socket, clock: Clock, deadline_ms: float) -> None:
+    """Let the socket wait no longer than to the deadline: here, and above, it becomes the socket's own."""
+    left = clock.seconds_until(deadline_ms)
+    if left == 0.0:
+        raise TimeoutError("the deadline is over")
+    sock.settimeout(left)
+
+
 class Connection:
-    """A socket with its framing; on_message is called on the reading thread, on_closed last and once."""
+    """A socket with its framing; on_opened, on_message and, once and last, on_closed are called on the thread
+    that reads.  A peer that has not finished the framing's handshake by open_by_ms is hung up on."""
 
     def __init__(
         self,
@@ -57,12 +69,16 @@
         on_message: Callable[[bytes], None],
         on_closed: Callable[[], None],
         name: str,
+        clock: Clock,
+        open_by_ms: float,
+        on_opened: Callable[[], None] = lambda: None,
     ) -> None:
         self.name = name
         self._sock = sock
         self._framing = framing
         self._on_message = on_message
         self._on_closed = on_closed
+        self._clock, self._open_by_ms, self._on_opened = clock, open_by_ms, on_opened
         self._changed = threading.Condition()
         self._outbox: deque[bytes] = deque()
         self._queued = 0
@@ -73,8 +89,8 @@
         start_thread(self.read, self.name)
 
     def post(self, message: bytes) -> bool:
-        """Send a message; False if the connection is closed or its peer too slow."""
-        return self._post(self._framing.frame(message))
+        """Send a message; False if the connection is not open or its peer too slow."""
+        return self._framing.opened and self._post(self._framing.frame(message))
 
     def _post(self, data: bytes) -> bool:
         with self._changed:
@@ -151,6 +167,12 @@
             self._on_closed()
 
     def _read(self) -> None:
+        opened = self._framing.opened
+        if opened:
+            self._on_opened()
+        else:
+            self._post(self._framing.opening())
+            bound(self._sock, self._clock, self._open_by_ms)
         while count := self._sock.recv_into(self._framing.space()):
             try:
                 for found in self._framing.filled(count):
@@ -158,8 +180,25 @@
                         self._post(found)
                     else:
                         self._on_message(found)
+                    if not opened and self._framing.opened:
+                        opened = self._open()
+                if not opened and self._framing.opened:
+                    opened = self._open()
             except OverError as over:
                 logger.debug("{}: {}", self.name, over)
-                if over.farewell:
-                    self._post(over.farewell)
+                if over.farewell and self._post(over.farewell):
+                    self._drain()
                 return
+
+    def _open(self) -> bool:
+        self._sock.settimeout(None)
+        self._on_opened()
+        return True
+
+    def _drain(self) -> None:
+        """Wait for the peer to close: an end with unread bytes would reset, and take the farewell with it."""
+        self._sock.shutdown(socket.SHUT_WR)
+        until_ms = self._clock.now_ms() + DRAIN_MS
+        bound(self._sock, self._clock, until_ms)
+        while self._sock.recv_into(self._framing.space()):
+            bound(self._sock, self._clock, until_ms)
--- a/capershelf/net/framing.py
+++ b/capershelf/net/framing.py
@@ -25,6 +25,11 @@
 class Framing(Protocol):
     """One connection's framing: fill space(), then take what filled() finds."""
 
+    opened: bool  # whether messages may be sent yet
+
+    def opening(self) -> bytes:
+        """What this end sends first."""
+
     def space(self) -> memoryview: ...
 
     def filled(self, count: int) -> Iterator[bytes]:
@@ -69,6 +74,7 @@
 
     def __init__(self) -> None:
         super().__init__()
+        self.opened = True
         self._seen = 0  # bytes known to hold no line feed
         self._skipping = False
 
@@ -89,6 +95,9 @@
             self._skipping = True
             self.have = self._seen = 0
 
+    def opening(self) -> bytes:
+        return b""
+
     def frame(self, message: bytes) -> bytes:
         return message + b"\n"
 
--- a/capershelf/net/http.py
+++ b/capershelf/net/http.py
@@ -6,7 +6,7 @@
 
 from capershelf.core.clock import Clock
 from capershelf.net.buffers import POOL
-from capershelf.net.connection import connect
+from capershelf.net.connection import bound, connect
 
 HEAD_BYTES = 8 * 1024
 BODY_BYTES = 4 * 1024 * 1024  # a registry's whole list at the most
@@ -72,7 +72,7 @@
     def _exchange(self, data: bytes, deadline_ms: float) -> tuple[int, bytes]:
         if self._sock is None:
             self._sock = connect(self._endpoint, self._clock, deadline_ms)
-        self._bound(deadline_ms)
+        bound(self._sock, self._clock, deadline_ms)
         self._sock.sendall(data)
         while True:
             first, fields = parse_head(self._until(b"\r\n\r\n", HEAD_BYTES, deadline_ms))
@@ -96,18 +96,10 @@
             self.close()
         return status, body
 
-    def _bound(self, deadline_ms: float) -> None:
-        """Let the socket wait no longer than to the deadline."""
-        left = self._clock.seconds_until(deadline_ms)
-        if left == 0.0:
-            raise TimeoutError("the deadline is over")
-        if self._sock is not None:
-            self._sock.settimeout(left)
-
     def _more(self, deadline_ms: float) -> bool:
-        self._bound(deadline_ms)
         if self._sock is None:
             return False
+        bound(self._sock, self._clock, deadline_ms)
         buffer = POOL.take()
         try:
             count = self._sock.recv_into(buffer)
--- a/capershelf/net/links.py
+++ b/capershelf/net/links.py
@@ -13,7 +13,9 @@
 from capershelf.net import vocabulary
 from capershelf.net.connection import Connection, connect, start_thread
 from capershelf.net.framing import Framing, Lines
+from capershelf.net.websocket import WebSocket
 
+WS = "ws://"  # an endpoint that begins so is spoken to over WebSocket
 BACK_OFF_MS = (50.0, 100.0, 200.0, 400.0, 800.0, 1600.0)
 
 Post = Callable[[m.Event], None]
@@ -29,7 +31,7 @@
         self._lock = threading.Lock()
         self._connection: Connection | None = None
         self._epoch = 0
-        self._ended = False
+        self._ended = self._opened = False
         start_thread(self._run, f"link {server}")
 
     def wake(self) -> None:
@@ -54,29 +56,48 @@
         failures = 0
         while not self._ended:
             try:
-                sock = connect(self.endpoint, self._clock, self._clock.now_ms() + self._connect_ms)
-            except OSError as problem:
-                refused = isinstance(problem, ConnectionRefusedError)
+                address = self.endpoint.removeprefix(WS).partition("/")[0]
+                sock = connect(address, self._clock, self._clock.now_ms() + self._connect_ms)
+            except (OSError, ValueError) as problem:
                 if failures == 0:
                     logger.info("server {}: no connection: {}", self.server, problem)
-                self._post(m.LinkDown(self.server, None, refused))
-                pause_ms = BACK_OFF_MS[min(failures, len(BACK_OFF_MS) - 1)] * random.uniform(0.8, 1.2)
-                failures += 1
-                self._pause(self._clock.now_ms() + pause_ms)
+                failures = self._failed(failures, isinstance(problem, ConnectionRefusedError))
                 continue
-            failures = 0
-            framing: Framing = Lines()
-            connection = Connection(sock, framing, self._message, lambda: None, f"link {self.server}")
+            self._opened = False
+            connection = Connection(
+                sock, self._framing(), self._message, lambda: None, f"link {self.server}",
+                self._clock, self._clock.now_ms() + self._connect_ms, self._open,
+            )
             with self._lock:
-                if self._ended:
-                    connection.close()
                 self._epoch += 1
                 self._connection = connection
-            self._post(m.LinkUp(self.server, self._epoch))
+                if self._ended:
+                    connection.close()
             connection.read()
             with self._lock:
                 self._connection = None
-            self._post(m.LinkDown(self.server, self._epoch))
+            if self._opened:
+                failures = 0
+                self._post(m.LinkDown(self.server, self._epoch))
+            else:  # connected, but no WebSocket came of it
+                failures = self._failed(failures, False)
+
+    def _framing(self) -> Framing:
+        if self.endpoint.startswith(WS):
+            host, slash, path = self.endpoint.removeprefix(WS).partition("/")
+            return WebSocket(host, slash + path or "/")
+        return Lines()
+
+    def _open(self) -> None:
+        self._opened = True
+        self._post(m.LinkUp(self.server, self._epoch))
+
+    def _failed(self, failures: int, refused: bool) -> int:
+        """Tell that no connection came up, and pause; the number of failures so far."""
+        self._post(m.LinkDown(self.server, None, refused))
+        pause_ms = BACK_OFF_MS[min(failures, len(BACK_OFF_MS) - 1)] * random.uniform(0.8, 1.2)
+        self._pause(self._clock.now_ms() + pause_ms)
+        return failures + 1
 
     def _pause(self, until_ms: float) -> None:
         while self._clock.now_ms() < until_ms and not self._ended:
--- a/capershelf/node.py
+++ b/capershelf/node.py
@@ -18,9 +18,10 @@
 from capershelf.fronts.listener import Listener
 from capershelf.fronts.session import Session
 from capershelf.net.connection import start_thread
-from capershelf.net.framing import Lines
+from capershelf.net.framing import Framing, Lines
 from capershelf.net.links import Links
-from capershelf.registry.board import Board
+from capershelf.net.websocket import WebSocket
+from capershelf.registry.board import Board, read_notices
 from capershelf.registry.source import Source
 
 STILL_ACCEPTING_MS = 900.0  # after SIGTERM: callers go on connecting for a while
@@ -36,6 +37,15 @@
     )
 
 
+def lines_framing(full: bool) -> Framing | None:
+    """JSON lines have no word for a front that is full: the caller is hung up on."""
+    return None if full else Lines()
+
+
+def websocket_framing(full: bool) -> Framing | None:
+    return WebSocket(full=full)
+
+
 class Node:
     """The running parts of one proxy."""
 
@@ -54,15 +64,20 @@
         for planner in self.planners:
             planner.servers = Links(self.clock, config.connect_ms, self._from_server(planner))
         self.fronts: list[Listener] = []
-        callers = max(1, config.sockets // 3)
-        if config.listen:
-            self.fronts.append(self._listener(config.listen, callers))
+        wanted = [(config.listen, lines_framing, False)] if config.listen else []
+        if config.websocket is not None:
+            wanted.append((config.websocket.listen, websocket_framing, True))
+        for listen, framing, outlived in wanted:
+            most = max(1, config.sockets // 3 // len(wanted))  # callers hold a third of the descriptors
+            self.fronts.append(Listener(
+                listen, framing, outlived, most, self.clock, self._route, self._ready, self._came, self._lost
+            ))
         self.sources: list[Source] = []
         if config.board:
             self.sources.append(Board(config.board, config.known, self.clock, self._news))
-
-    def _listener(self, listen: str, most: int) -> Listener:
-        return Listener(listen, Lines, False, most, self.clock, self._route, self._ready, self._lost)
+        else:  # an operator may list the booking servers in the file
+            for news in read_notices(config.known, -1)[1]:
+                self._news(news)
 
     # -- ways into the planners -----------------------------------------------------------------------
     def _planner_of(self, call_id: str) -> Planner:
@@ -88,6 +103,10 @@
         for planner in self.planners:
             planner.inbox.put(news)
 
+    def _came(self, session: Session) -> None:
+        for planner in self.planners:
+            planner.inbox.put(m.CallerCame(session))
+
     def _lost(self, session: Session) -> None:
         for planner in self.planners:
             planner.inbox.put(m.CallerLost(session))
