Model of calls and connections under random steps; unsent attempts can't be answered

Seen: the model's first counterexample let a late answer from a server end an attempt that was still waiting for a connection to it. planner.py, _answered and _server_released matched on the server's name alone. They now ask that the attempt has gone out.

--- a/capershelf/core/planner.py
+++ b/capershelf/core/planner.py
@@ -221,7 +221,9 @@
         now_ms = self.clock.now_ms()
         call = self._calls.get(int(event.id, 16))
         attempt = call.attempt if call is not None else None
-        if call is None or attempt is None or attempt.over or attempt.server != event.server:
+        # An attempt still waiting for its connection can't have been answered: that is of an earlier one.
+        ours = attempt is not None and attempt.server == event.server and attempt.epoch is not None
+        if call is None or attempt is None or not ours:
             if call is None or call.state is not m.State.STANDS or call.server != event.server:
                 # Guards against a call that stands for nobody: it was given up while this was on its way.
                 self.servers.release(event.server, event.id, m.NORMAL)
@@ -246,7 +248,7 @@
         if call.state is m.State.STANDS and call.server == event.server:
             result = api.Result.RESET if event.cause == m.CUT else api.Result.OK
             self._end_standing(call, result, event.cause, event.report)
-        elif call.attempt is not None and call.attempt.server == event.server:
+        elif (out := call.attempt) is not None and out.server == event.server and out.epoch is not None:
             self._end_attempt(call, event.result, event.why, event.report)
 
     def _told(self, event: m.ServerTold) -> None:
--- /dev/null
+++ b/tests/test_planner_states.py
@@ -0,0 +1,220 @@
+"""A model of callers' connections, calls and links under random steps; no socket, a clock moved by hand."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import hypothesis.strategies as st
+from hypothesis import settings as hypothesis_settings
+from hypothesis.stateful import Bundle, RuleBasedStateMachine, invariant, multiple, rule
+
+from capershelf import interface as api
+from capershelf.core import model as m
+from capershelf.core.clock import ManualClock
+from capershelf.core.planner import DEADLINE_MARGIN_MS, Planner
+from tests.rig import listed, settings
+
+RELEASE_MS = 200.0
+SETTINGS = settings(release_ms=RELEASE_MS, may_probe=True)
+SERVERS = ("s0", "s1")
+
+
+class FakeCaller:
+    host = "127.0.0.1"
+
+    def __init__(self, outlived: bool) -> None:
+        self.outlived, self.open, self.heard = outlived, True, list[m.Word]()
+
+    def tell(self, word: m.Word) -> bool:
+        if self.open:
+            self.heard.append(word)
+        return self.open
+
+    def elsewhere(self) -> m.Caller | None:
+        return None
+
+
+class FakeServers:
+    """Notes what goes out and checks the rules on attempts as they go."""
+
+    def __init__(self, clock: ManualClock) -> None:
+        self.clock = clock
+        self.out: dict[str, str] = {}  # call: server
+        self.sent: dict[str, int] = {}
+        self.standing: dict[str, str] = {}
+        self.not_before: dict[str, float] = {}
+
+    def set_up(self, server: str, epoch: int, request: m.SetUp, left_ms: float) -> None:
+        now_ms = self.clock.now_ms()
+        assert request.id not in self.out, "two attempts out"
+        assert now_ms >= self.not_before.get(request.id, 0.0), "sent again before its release"
+        assert now_ms + left_ms <= request.expires_ms
+        self.out[request.id] = server
+        self.sent[request.id] = self.sent.get(request.id, 0) + 1
+        assert self.sent[request.id] <= SETTINGS.max_attempts
+
+    def ended(self, call: str, waits: bool) -> None:
+        if self.out.pop(call, None) is not None and waits:
+            self.not_before[call] = self.clock.now_ms() + RELEASE_MS
+
+    def release(self, server: str, call_id: str, cause: int) -> None:
+        if self.standing.get(call_id) == server:
+            del self.standing[call_id]
+        elif self.out.get(call_id) == server:
+            self.ended(call_id, True)
+
+    def open(self, server: str, endpoint: str) -> None: ...
+    def close(self, server: str) -> None: ...
+    def wake(self, server: str) -> None: ...
+    def probe(self, server: str, epoch: int, token: str) -> None: ...
+
+
+class Calls(RuleBasedStateMachine):
+    calls: Bundle[str] = Bundle("calls")
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.clock = ManualClock()
+        self.planner = Planner(SETTINGS, 1, self.clock, 500.0)
+        self.servers = self.planner.servers = FakeServers(self.clock)
+        self.epochs: dict[str, int] = {}
+        self.links: dict[str, bool] = dict.fromkeys(SERVERS, False)
+        self.callers: list[FakeCaller] = []
+        self.asked: dict[str, m.SetUp] = {}
+        self.at: dict[str, FakeCaller] = {}
+        self.left: set[str] = set()  # given up by their callers: nothing is owed
+        self.put(m.News(1, True, tuple(
+            m.Located(listed(server, place), f"127.0.0.1:{place + 1}") for place, server in enumerate(SERVERS)
+        )))
+
+    def put(self, event: m.Event) -> None:
+        self.planner.inbox.put(event)
+        self.planner.step()
+
+    def caller(self, outlived: bool) -> FakeCaller:
+        self.callers.append(FakeCaller(outlived))
+        return self.callers[-1]
+
+    def ask(self, call: str, caller: FakeCaller) -> None:
+        self.at[call] = caller
+        self.put(m.SetUpCame(self.asked[call], caller))
+
+    def words(self, call: str) -> list[list[m.Word]]:
+        final = (m.Answered, m.Refused, m.Failed)
+        return [[w for w in c.heard if w.id == call and isinstance(w, final)] for c in self.callers]
+
+    # -- steps ----------------------------------------------------------------------------------------
+    @rule(target=calls, outlived=st.booleans(), kind=st.sampled_from(["usual", "dear", "what"]),
+          left_ms=st.integers(1, 4000), place=st.integers(-1, 2))
+    def set_up(self, outlived: bool, kind: str, left_ms: int, place: int) -> Any:
+        call = f"{len(self.asked) + 1:016x}"
+        self.asked[call] = m.SetUp(call, kind, self.clock.now_ms() + left_ms, f"n{call}", "sdp", place)
+        self.ask(call, self.caller(outlived))
+        return multiple(call)
+
+    @rule(call=calls)
+    def repeat_on_its_connection(self, call: str) -> None:
+        if self.at[call].open and not any(self.words(call)) and call not in self.left:
+            before = self.servers.sent.get(call, 0)
+            self.put(m.SetUpCame(self.asked[call], self.at[call]))
+            assert self.servers.sent.get(call, 0) == before
+
+    @rule(call=calls)
+    def connection_lost(self, call: str) -> None:
+        caller = self.at[call]
+        if caller.open:
+            caller.open = False
+            if not caller.outlived and not any(self.words(call)):
+                self.left.add(call)
+            self.put(m.CallerLost(caller))
+
+    @rule(call=calls)
+    def come_back(self, call: str) -> None:
+        caller = self.at[call]
+        if caller.outlived and not any(self.words(call)) and call not in self.left and (
+            self.clock.now_ms() < self.asked[call].expires_ms
+        ):
+            before = self.servers.sent.get(call, 0)
+            self.ask(call, self.caller(True))
+            assert self.servers.sent.get(call, 0) == before, "an attempt for coming back"
+
+    @rule(call=calls)
+    def give_up(self, call: str) -> None:
+        if not any(self.words(call)):
+            self.left.add(call)
+        self.put(m.CallerReleased(call, m.NORMAL, self.at[call]))
+        assert call not in self.servers.out
+
+    @rule(server=st.sampled_from(SERVERS))
+    def link_changes(self, server: str) -> None:
+        self.links[server] = up = not self.links[server]
+        if up:
+            self.epochs[server] = self.epochs.get(server, 0) + 1
+            self.put(m.LinkUp(server, self.epochs[server]))
+            return
+        for call in [c for c, at in self.servers.out.items() if at == server]:
+            self.servers.ended(call, True)
+        self.put(m.LinkDown(server, self.epochs[server]))
+
+    @rule(server=st.sampled_from(SERVERS), refused=st.booleans())
+    def connect_fails(self, server: str, refused: bool) -> None:
+        if not self.links[server]:
+            self.put(m.LinkDown(server, None, refused))
+            if refused:
+                self.servers.standing = {c: s for c, s in self.servers.standing.items() if s != server}
+
+    @rule(call=calls)
+    def server_answers(self, call: str) -> None:
+        if (server := self.servers.out.pop(call, None)) is not None:
+            self.servers.standing[call] = server
+            self.put(m.ServerAnswered(server, call, f"of {call}", None))
+
+    @rule(call=calls, server=st.sampled_from(SERVERS))
+    def answer_out_of_turn(self, call: str, server: str) -> None:
+        if call not in self.servers.out and call not in self.servers.standing:
+            before = self.words(call)
+            self.put(m.ServerAnswered(server, call, "late", None))
+            assert self.words(call) == before
+
+    @rule(call=calls, cause=st.sampled_from([17, 34, 41, 47, 102, 16]))
+    def server_releases(self, call: str, cause: int) -> None:
+        server = self.servers.out.get(call) or self.servers.standing.pop(call, None)
+        if server is not None:
+            self.servers.ended(call, cause == m.CUT)
+            result = {34: api.Result.FULL, 41: api.Result.RESET, 102: api.Result.NOT_SENT}.get(
+                cause, api.Result.ERROR)
+            self.put(m.ServerReleased(server, call, cause, result, api.Why.UNSAID, None))
+
+    @rule(by_ms=st.sampled_from([1.0, 25.0, 199.0, 200.0, 1000.0]))
+    def time_passes(self, by_ms: float) -> None:
+        while by_ms > 0:
+            self.clock.advance(min(25.0, by_ms))
+            by_ms -= 25.0
+            self.planner.step()
+
+    # -- what always holds ----------------------------------------------------------------------------
+    @invariant()
+    def one_outcome_each(self) -> None:
+        for call, request in self.asked.items():
+            heard = self.words(call)
+            assert all(len(words) <= 1 for words in heard), "two outcomes on one connection"
+            kinds = {word for words in heard for word in words}
+            assert len(kinds) <= 1, "two outcomes that differ"
+            for word in kinds:
+                assert not isinstance(word, m.Answered) or word.description == f"of {call}"
+            late = self.clock.now_ms() > request.expires_ms - DEADLINE_MARGIN_MS + 25.0
+            if late and self.at[call].open and call not in self.left:
+                assert kinds, "its caller's time is over and it heard nothing"
+
+    def teardown(self) -> None:
+        self.time_passes(9000.0)
+        assert self.planner.open_calls == 0
+        assert not self.servers.out, "an attempt is left out"
+        for call in self.servers.standing:
+            assert any(self.words(call)), "a call stands for nobody"
+
+
+TestCalls = Calls.TestCase
+TestCalls.settings = hypothesis_settings(
+    derandomize=True, deadline=None, max_examples=120, stateful_step_count=40, database=None
+)
