Test the WebSocket front on loopback: both transports, closes in each state, error mapping

One scenario runs over both transports on a clock that the test advances: outcomes and attempt timings (call, server, time, time left) are equal. Besides: each cause of a server, 18 bad messages, a close while out, held, refused, standing and ended, a caller that never comes back, a server's connection lost, a slow reader beside fast calls, a full front. Found while testing: a message in the same read as the end of the handshake was passed on before on_opened (connection.py, _read); now the order is kept. Known and allowed port 0 for a listener. A model feeds both framings random messages in random pieces and one breach with its close code, both roles, and checks that every buffer goes back to the pool.

--- a/capershelf/core/model.py
+++ b/capershelf/core/model.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Protocol
@@ -242,7 +243,14 @@
     by_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class Reached:
+    """Calls back once all that was put in before it has been dealt with."""
+
+    back: Callable[[], None]
+
+
 Event = (
     SetUpCame | CallerReleased | CallerCame | CallerLost | ServerAnswered | ServerReleased | ServerTold
-    | LinkUp | LinkDown | News | Stop
+    | LinkUp | LinkDown | News | Stop | Reached
 )
--- a/capershelf/core/planner.py
+++ b/capershelf/core/planner.py
@@ -103,6 +103,8 @@
                 self._link_down(event)
             case m.News():
                 self._news(event)
+            case m.Reached(back):
+                back()
             case m.Stop():
                 self._stop = event
                 self.at(event.by_ms, lambda: None)
--- a/capershelf/net/connection.py
+++ b/capershelf/net/connection.py
@@ -33,7 +33,7 @@
 def parse_endpoint(text: str) -> tuple[str, int]:
     """host:port, with brackets round an IPv6 host."""
     host, colon, port = text.rpartition(":")
-    if not colon or not port.isdigit() or not 0 < int(port) < 65536:
+    if not colon or not port.isdigit() or int(port) > 65535:
         raise ValueError(f"not host:port: {text!r}")
     return host.strip("[]"), int(port)
 
@@ -176,12 +176,12 @@
         while count := self._sock.recv_into(self._framing.space()):
             try:
                 for found in self._framing.filled(count):
+                    if not opened and self._framing.opened:
+                        opened = self._open()
                     if isinstance(found, Reply):
                         self._post(found)
                     else:
                         self._on_message(found)
-                    if not opened and self._framing.opened:
-                        opened = self._open()
                 if not opened and self._framing.opened:
                     opened = self._open()
             except OverError as over:
--- /dev/null
+++ b/tests/test_framing_states.py
@@ -0,0 +1,164 @@
+"""A model of both framings: random messages in random pieces, and one breach with the code it must get."""
+
+from __future__ import annotations
+
+import struct
+from collections.abc import Callable, Sequence
+
+import hypothesis.strategies as st
+import pytest
+from hypothesis import given
+from hypothesis import settings as hypothesis_settings
+
+from capershelf.net import websocket as ws
+from capershelf.net.buffers import MESSAGE_BYTES, POOL
+from capershelf.net.framing import Framing, Lines, OverError, Reply
+
+STEADY = hypothesis_settings(derandomize=True, deadline=None, max_examples=80, database=None)
+TEXTS = st.text(max_size=40) | st.sampled_from(["x" * 125, "y" * 126, "é" * 400, "z" * MESSAGE_BYTES])
+BREACHES: dict[str, tuple[Callable[[bytes], bytes], int]] = {
+    # What a peer sends against the rules, given its mask, and the close code.
+    "reserved bit": (lambda k: bytes([ws.build_frame(ws.TEXT, b"a", k)[0] | 0x40])
+                     + ws.build_frame(ws.TEXT, b"a", k)[1:], 1002),
+    "reserved opcode": (lambda k: ws.build_frame(0x3, b"a", k), 1002),
+    "binary": (lambda k: ws.build_frame(ws.BINARY, b"a", k), 1003),
+    "not UTF-8": (lambda k: ws.build_frame(ws.TEXT, b"\xff", k), 1007),
+    "not UTF-8 over fragments": (lambda k: ws.build_frame(ws.TEXT, b"\xc3", k, False)
+                                 + ws.build_frame(ws.CONTINUATION, b"a", k), 1007),
+    "too big": (lambda k: ws.build_frame(ws.TEXT, b"a" * (MESSAGE_BYTES + 1), k), 1009),
+    "too big in fragments": (lambda k: ws.build_frame(ws.TEXT, b"a" * MESSAGE_BYTES, k, False)
+                             + ws.build_frame(ws.CONTINUATION, b"a", k), 1009),
+    "wrong masking": (lambda k: ws.build_frame(ws.TEXT, b"a", b"" if k else b"mask"), 1002),
+    "continuation of nothing": (lambda k: ws.build_frame(ws.CONTINUATION, b"a", k), 1002),
+    "message within a message": (lambda k: ws.build_frame(ws.TEXT, b"a", k, False)
+                                 + ws.build_frame(ws.TEXT, b"a", k), 1002),
+    "ping in pieces": (lambda k: ws.build_frame(ws.PING, b"", k, False), 1002),
+    "long ping": (lambda k: ws.build_frame(ws.PING, b"a" * 126, k), 1002),
+    "half a code": (lambda k: ws.build_frame(ws.CLOSE, b"\x03", k), 1002),
+    "a code never sent": (lambda k: ws.build_frame(ws.CLOSE, struct.pack("!H", 1005), k), 1002),
+    "a reason not UTF-8": (lambda k: ws.build_frame(ws.CLOSE, struct.pack("!H", 1000) + b"\xff", k), 1007),
+    "a normal close": (lambda k: ws.build_frame(ws.CLOSE, struct.pack("!H", 1000) + b"bye", k), 1000),
+    "a close without a code": (lambda k: ws.build_frame(ws.CLOSE, b"", k), 1000),
+}
+
+
+def pieces(data: bytes, cuts: Sequence[int]) -> list[bytes]:
+    found = []
+    at = 0
+    for cut in cuts:
+        found.append(data[at : at + cut])
+        at += cut
+    return [piece for piece in [*found, data[at:]] if piece]
+
+
+def feed(framing: Framing, data: bytes) -> tuple[list[bytes], list[bytes]]:
+    """Messages and replies, whatever size of bites the buffer leaves."""
+    messages: list[bytes] = []
+    replies: list[bytes] = []
+    while data:
+        space = framing.space()
+        assert len(space), "no room to read into"
+        bite = data[: len(space)]
+        space[: len(bite)] = bite
+        data = data[len(bite) :]
+        for found in framing.filled(len(bite)):
+            (replies if isinstance(found, Reply) else messages).append(bytes(found))
+    return messages, replies
+
+
+def pair() -> tuple[ws.WebSocket, ws.WebSocket]:
+    """Client and server after their handshake."""
+    client, server = ws.WebSocket("127.0.0.1:1"), ws.WebSocket()
+    _, [answer] = feed(server, client.opening())
+    assert feed(client, answer) == ([], [])
+    assert client.opened
+    assert server.opened
+    return client, server
+
+
+@STEADY
+@given(st.booleans(), st.lists(st.tuples(TEXTS, st.integers(0, 30), st.booleans()), max_size=6),
+       st.lists(st.integers(1, 5000), max_size=8), st.sampled_from(sorted(BREACHES)))
+def test_messages_arrive_whole_and_a_breach_gets_its_code(
+    to_server: bool, sent: list[tuple[str, int, bool]], cuts: list[int], breach: str
+) -> None:
+    taken = POOL.out
+    client, server = pair()
+    near, far, mask = (client, server, b"mask") if to_server else (server, client, b"")
+    data, pings = b"", 0
+    for text, cut, ping in sent:
+        message = text.encode()
+        if cut and len(message) > cut:
+            data += ws.build_frame(ws.TEXT, message[:cut], mask, False)
+            if ping:
+                data, pings = data + ws.build_frame(ws.PING, b"p", mask), pings + 1
+            data += ws.build_frame(ws.CONTINUATION, message[cut:], mask)
+        else:
+            data += near.frame(message)
+    heard: list[bytes] = []
+    for piece in pieces(data, cuts):
+        messages, replies = feed(far, piece)
+        heard += messages
+        pings -= len(replies)
+    assert heard == [text.encode() for text, _, _ in sent]
+    assert pings == 0
+    make, code = BREACHES[breach]
+    with pytest.raises(OverError) as over:
+        feed(far, make(mask))
+    with pytest.raises(OverError, match=f"closed with {code}"):
+        feed(near, over.value.farewell)
+    assert far.farewell(1000, "") == b"", "a second close frame"
+    near.done()
+    far.done()
+    far.done()
+    assert POOL.out == taken, "a buffer was not given back, or twice"
+
+
+@STEADY
+@given(st.lists(TEXTS.map(lambda text: text.replace("\n", " ")), max_size=6),
+       st.integers(0, 6), st.integers(1, 3), st.lists(st.integers(1, 20000), max_size=8))
+def test_lines_arrive_whole_and_one_too_long_is_passed_over(
+    texts: list[str], at: int, times: int, cuts: list[int]
+) -> None:
+    lines = Lines()
+    long = b"l" * (MESSAGE_BYTES * times + 1)
+    sent = [text.encode() for text in texts]
+    data = b"".join(lines.frame(line) for line in [*sent[:at], long, *sent[at:]])
+    heard = [message for piece in pieces(data, cuts) for message in feed(lines, piece)[0]]
+    assert heard == [line for line in sent if line.strip()]
+    lines.done()
+
+
+@pytest.mark.parametrize(("change", "status"), [
+    (("GET", "POST"), b"400"), (("HTTP/1.1", "HTTP/1.0"), b"400"), (("websocket", "h2c"), b"400"),
+    (("Version: 13", "Version: 8"), b"426"), (("Key: ", "Key: x"), b"400"), (("Host:", "Host"), b"400"),
+    (("Host", "H" * 17000), b"431"),
+])
+def test_a_bad_handshake_gets_its_status(change: tuple[str, str], status: bytes) -> None:
+    server = ws.WebSocket()
+    with pytest.raises(OverError) as over:
+        feed(server, ws.WebSocket("h").opening().decode().replace(*change).encode())
+    assert over.value.farewell.split(b" ")[1] == status
+    assert not server.opened
+
+
+def test_the_accept_key_is_that_of_the_rfc_and_a_wrong_one_is_not_taken() -> None:
+    assert ws.accept_key("dGhlIHNhbXBsZSBub25jZQ==") == "s3pPLMBiTxaQ9kYGzzhZRbK+xOo="
+    client, server = ws.WebSocket("h"), ws.WebSocket()
+    _, [answer] = feed(server, ws.WebSocket("h").opening())
+    with pytest.raises(OverError):
+        feed(client, answer)
+    assert not client.opened
+
+
+def test_a_full_front_says_so_after_the_handshake() -> None:
+    client, server = ws.WebSocket("h"), ws.WebSocket(full=True)
+    space = server.space()
+    opening = client.opening()
+    space[: len(opening)] = opening
+    answers = server.filled(len(opening))
+    feed(client, next(answers))
+    with pytest.raises(OverError) as over:
+        next(answers)
+    with pytest.raises(OverError, match="1013"):
+        feed(client, over.value.farewell)
--- /dev/null
+++ b/tests/test_loopback.py
@@ -0,0 +1,257 @@
+"""The whole path on loopback sockets, over both transports, on a clock that the test advances."""
+
+from __future__ import annotations
+
+import socket
+from collections.abc import Iterator
+from typing import Any
+
+import pytest
+
+from tests.peers import PATIENCE_S, Stage
+
+A, B, C, D, E, F, G = (f"{n:016x}" for n in range(0xA0, 0xA7))
+
+
+def outcome(message: dict[str, Any]) -> tuple[Any, ...]:
+    return message["type"], message["id"], message.get("cause"), message.get("sdp")
+
+
+def scenario(websocket: bool) -> tuple[list[tuple[Any, ...]], list[tuple[float, str, str, float]]]:
+    """A day in small: what the caller heard, and when each attempt went where with how much time."""
+    stage = Stage(websocket)
+    try:
+        caller, servers = stage.caller(), stage.servers
+        heard = []
+
+        def answer(server: int, call: str) -> None:
+            got = servers[server].hear()
+            assert (got["type"], got["id"], got["sdp"]) == ("setup", call, f"sdp of {call}\r\n")
+            assert got["fields"]["class"] == "slot-confirm"
+            assert got["fields"]["key"] == "k"
+            stage.links[server].say("answer", call, sdp=f"v=0 {call}")
+
+        caller.set_up(A)  # answered
+        answer(0, A)
+        heard.append(outcome(caller.hear()))
+        caller.set_up(B)  # full at the first, answered by the second
+        servers[0].hear()
+        stage.links[0].say("release", B, cause=34, fields={"note": "acc"})
+        answer(1, B)
+        heard.append(outcome(caller.hear()))
+        caller.set_up(C, extras="dest:1")  # the number is busy
+        servers[1].hear()
+        stage.links[1].say("release", C, cause=17, fields={"note": "sub"})
+        heard.append(outcome(caller.hear()))
+        stage.advance(100)
+        caller.set_up(D, extras="dest:1")  # reset on its way: not again within 200 ms
+        servers[1].hear()
+        stage.links[1].say("release", D, cause=41)
+        stage.until(lambda: stage.planner._calls[int(D, 16)].attempt is None)
+        stage.advance(300)
+        again = stage.attempts[-1]
+        assert again[1] == D
+        answer(int(again[2][1]), D)
+        heard.append(outcome(caller.hear()))
+        caller.set_up(E, left_ms=700, extras="dest:1")  # never answered: one outcome before its caller leaves
+        assert servers[1].hear()["id"] == E
+        stage.advance(700)
+        heard.append(outcome(caller.hear()))
+        assert outcome(servers[1].hear())[:3] == ("release", E, 16)
+        stage.links[0].say("release", A, cause=16)  # a call that stood comes to its end
+        heard.append(outcome(caller.hear()))
+        caller.say("release", B, cause=16)  # and one is ended by its caller
+        assert outcome(servers[1].hear())[:3] == ("release", B, 16)
+        return heard, stage.attempts
+    finally:
+        stage.end()
+
+
+def test_both_transports_give_the_same_outcomes_and_attempt_timings() -> None:
+    lines, websocket = scenario(False), scenario(True)
+    assert lines == websocket
+    heard, attempts = lines
+    assert [word[:3] for word in heard] == [
+        ("answer", A, None), ("answer", B, None), ("release", C, 17), ("answer", D, None),
+        ("release", E, 34), ("release", A, 16),
+    ]
+    assert [call for _, call, _, _ in attempts] == [A, B, B, C, D, D, E]
+    first, second = [when for when, call, _, _ in attempts if call == D]
+    assert second - first >= 200.0
+
+
+@pytest.fixture(params=[False, True], ids=["lines", "websocket"])
+def stage(request: pytest.FixtureRequest) -> Iterator[Stage]:
+    made = Stage(request.param)
+    yield made
+    made.end()
+
+
+@pytest.mark.parametrize(("cause", "note", "expected"), [
+    (17, "sub", 17), (34, "atb", 34), (34, "acc", 34), (102, "", 34), (47, "", 17), (41, "", 34),
+])
+def test_each_cause_of_a_server_reaches_the_caller_as_documented(
+    stage: Stage, cause: int, note: str, expected: int
+) -> None:
+    """Every server gives the same answer to every attempt until the call is given up."""
+    caller = stage.caller()
+    caller.set_up(A, left_ms=2000)
+    seen = 0
+    for _ in range(20):
+        stage.settle()
+        while seen < len(stage.attempts):
+            server = int(stage.attempts[seen][2][1])
+            seen += 1
+            while stage.servers[server].hear()["type"] != "setup":
+                pass
+            stage.links[server].say("release", A, cause=cause, fields={"note": note})
+            call = stage.planner._calls
+            n = seen
+            stage.until(lambda call=call, n=n: int(A, 16) not in call  # type: ignore[misc]
+                        or call[int(A, 16)].attempt is None or len(stage.attempts) > n)
+        stage.advance(100)
+    assert outcome(caller.hear())[:3] == ("release", A, expected)
+    assert 1 <= len(stage.attempts) <= 6
+    assert caller.got.empty()
+
+
+@pytest.mark.parametrize("line", [
+    b"{", b"[]", b"\xff\xfe", b'{"type":"what","id":"00000000000000a0"}', b'{"type":"setup","id":"short"}',
+    b'{"type":"release"}', b'{"type":"setup","id":7}', b"[" * 16000, b'{"id":"00000000000000a0"}',
+    b'{"type":"setup","id":"00000000000000a0","fields":[]}',
+    b'{"type":"release","id":"00000000000000a0","cause":"x"}',
+    b'{"type":"setup","id":"00000000000000a0","fields":{"class":"slot-confirm"}}',
+    b'{"type":"setup","id":"00000000000000a0","fields":{"class":"slot-confirm","left":"-5"}}',
+    b'{"type":"setup","id":"00000000000000a0","fields":{"class":"slot-confirm","left":"NaN"}}',
+    b'{"type":"setup","id":"00000000000000a0","fields":{"class":"what","left":"900"}}',
+    b'{"type":"setup","id":"00000000000000a0","fields":{"class":"slot-confirm","left":true}}',
+    b'{"type":"setup","id":"00000000000000a0","fields":{"class":7,"left":"900"}}',
+    b'{"type":"setup","id":"00000000000000a0","fields":{"class":"slot-confirm","left":"900"},"sdp":1}',
+], ids=range(18))
+def test_bad_input_is_answered_where_it_can_be_and_hurts_nobody(stage: Stage, line: bytes) -> None:
+    caller = stage.caller()
+    assert caller.connection.post(line)
+    if stage.websocket and line == b"\xff\xfe":  # a WebSocket ends at text that is not UTF-8
+        assert caller.closed.wait(PATIENCE_S)
+        return
+    caller.say("ping", B, cause=0)
+    message = caller.hear()
+    if b'"setup"' in line and A.encode() in line:
+        while message["type"] == "pong":  # the planner's answer may come after the front's
+            message = caller.hear()
+        assert outcome(message)[:3] == ("release", A, 100)
+    else:
+        assert outcome(message)[:3] == ("pong", B, 1)
+    assert not stage.attempts
+
+
+@pytest.mark.parametrize("state", ["out", "held", "refused", "stands", "ended"])
+def test_a_caller_whose_websocket_closed_comes_back_for_its_one_outcome(state: str) -> None:
+    stage = Stage(True)
+    try:
+        caller = stage.caller()
+        caller.set_up(A)
+        server, link = stage.servers[0], stage.links[0]
+        assert server.hear()["id"] == A
+        if state == "held":
+            link.say("release", A, cause=41)
+            stage.until(lambda: stage.planner._calls[int(A, 16)].attempt is None)
+        caller.leave()
+        stage.until(lambda: stage.planner._calls[int(A, 16)].caller is None)
+        if state == "held":
+            stage.advance(250)
+            again = int(stage.attempts[-1][2][1])
+            stage.links[again].say("answer", A, sdp="v=0")
+        elif state == "refused":
+            link.say("release", A, cause=17, fields={"note": "sub"})
+        elif state != "out":
+            link.say("answer", A, sdp="v=0")
+        if state == "ended":
+            link.say("release", A, cause=16)
+            stage.until(lambda: bool(stage.planner._unheard))
+        elif state != "out":
+            stage.until(lambda: stage.planner._calls[int(A, 16)].unheard is not None)
+        sent = len(stage.attempts)
+        again_caller = stage.caller()
+        again_caller.set_up(A)
+        if state == "out":
+            stage.until(lambda: stage.planner._calls[int(A, 16)].caller is not None)
+            link.say("answer", A, sdp="v=0")
+        kind, call, cause, sdp = outcome(again_caller.hear())
+        assert call == A
+        if state == "refused":
+            assert (kind, cause) == ("release", 17)
+        elif state == "ended":
+            assert (kind, cause) == ("release", 16)
+        else:
+            assert (kind, sdp) == ("answer", "v=0")
+        assert len(stage.attempts) == sent, "an attempt for coming back"
+    finally:
+        stage.end()
+
+
+@pytest.mark.parametrize("answered", [True, False])
+def test_a_call_whose_caller_never_comes_back_is_ended_once_and_released(answered: bool) -> None:
+    stage = Stage(True)
+    try:
+        caller = stage.caller()
+        caller.set_up(A, left_ms=1000)
+        assert stage.servers[0].hear()["id"] == A
+        caller.leave()
+        if answered:
+            stage.links[0].say("answer", A, sdp="v=0")
+            stage.until(lambda: stage.planner.open_calls == 0)
+        stage.advance(1100)
+        assert outcome(stage.servers[0].hear())[:3] == ("release", A, 16)
+        assert not stage.planner._calls
+        assert stage.servers[0].got.empty()
+    finally:
+        stage.end()
+
+
+def test_a_server_whose_connection_breaks_resets_what_was_out_there(stage: Stage) -> None:
+    caller = stage.caller()
+    caller.set_up(A)
+    assert stage.servers[0].hear()["id"] == A
+    stage.links[0].leave()
+    stage.until(lambda: stage.planner._calls[int(A, 16)].attempt is None)
+    stage.links[0] = stage.servers[0].peer()
+    stage.advance(195)
+    assert len(stage.attempts) == 1
+    stage.advance(50)
+    assert len(stage.attempts) == 2
+    server = int(stage.attempts[-1][2][1])
+    stage.links[server].say("answer", A, sdp="v=0")
+    assert outcome(caller.hear())[0] == "answer"
+
+
+def test_a_slow_reader_delays_nobody_else(stage: Stage) -> None:
+    """One caller stops reading until its outbox is over; another's calls go through meanwhile."""
+    slow, fast = stage.caller(), stage.caller()
+    slow.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    slow.awake.clear()
+    slow.say("ping", B, cause=0)
+    big = "d" * 12000
+    for number in range(0x1000, 0x1000 + 200):
+        call = f"{number:016x}"
+        asked = fast if number % 10 == 0 else slow
+        if asked is slow and slow.closed.is_set():
+            continue
+        asked.set_up(call)
+        while (got := stage.servers[0].hear())["id"] != call or got["type"] != "setup":
+            pass
+        stage.links[0].say("answer", call, sdp=big)
+        if asked is fast:
+            assert outcome(fast.hear())[:2] == ("answer", call)
+
+
+def test_a_websocket_front_that_is_full_says_so() -> None:
+    stage = Stage(True, limits={"sockets": 6})
+    try:
+        first = stage.caller()
+        second = stage.caller()
+        assert second.closed.wait(PATIENCE_S)
+        first.say("ping", A, cause=0)
+        assert first.hear()["type"] == "pong"
+    finally:
+        stage.end()
