Eureka as a second registry source, against a stand-in

Register, renew (and register again after 404), whole fetch, delta with the hash code checked, cancel at SIGTERM. UP may be routed to; DOWN, OUT_OF_SERVICE and STARTING drain; what is gone is removed; an instance's serviceUpTimestamp is its start. board and eureka together are refused by the configuration. Checked: a model of the registry's list under random steps, with lost deltas and a registry that is down; the board's poll over a socket with closed connections, a 503 and nonsense; HTTP bodies by length, chunks and close.

--- a/capershelf/config.py
+++ b/capershelf/config.py
@@ -91,6 +91,8 @@
             str(_need(eu, "eureka.", "url")), str(_need(eu, "eureka.", "app")), str(eu.get("own-app", "")),
             _number(eu, "eureka.", "fetch", 5000.0), _number(eu, "eureka.", "renew", 30000.0),
         )
+    if eureka is not None and table.get("board"):
+        raise ValueError("board and eureka are both set: one registry lists the booking servers")
     known = {"name", "listen", "seed", "limits", "board", "known", "settings", "planners", "websocket",
              "eureka"}
     return Config(
--- a/capershelf/node.py
+++ b/capershelf/node.py
@@ -22,6 +22,7 @@
 from capershelf.net.links import Links
 from capershelf.net.websocket import WebSocket
 from capershelf.registry.board import Board, read_notices
+from capershelf.registry.eureka import Eureka
 from capershelf.registry.source import Source
 
 STILL_ACCEPTING_MS = 900.0  # after SIGTERM: callers go on connecting for a while
@@ -73,7 +74,9 @@
                 listen, framing, outlived, most, self.clock, self._route, self._ready, self._came, self._lost
             ))
         self.sources: list[Source] = []
-        if config.board:
+        if config.eureka is not None:
+            self.sources.append(Eureka(config.eureka, config.name, config.listen, self.clock, self._news))
+        elif config.board:
             self.sources.append(Board(config.board, config.known, self.clock, self._news))
         else:  # an operator may list the booking servers in the file
             for news in read_notices(config.known, -1)[1]:
@@ -127,6 +130,8 @@
         """Go on for a while, answer all that was taken, then end."""
         self._stopping.set()
         began_ms = self.clock.now_ms()
+        for source in self.sources:
+            source.withdraw()
         time.sleep(self.clock.seconds_until(began_ms + STILL_ACCEPTING_MS) or 0.0)
         for front in self.fronts:
             front.stop_accepting()
--- a/capershelf/registry/board.py
+++ b/capershelf/registry/board.py
@@ -63,6 +63,9 @@
         for one in news:
             tell(one)
 
+    def withdraw(self) -> None:
+        """The board holds booking servers only."""
+
     def end(self) -> None:
         self._over = True
         self._ended.put(True)
--- a/capershelf/registry/source.py
+++ b/capershelf/registry/source.py
@@ -14,4 +14,7 @@
     def run(self) -> None:
         """Tell what is new, until ended; a failing registry is tried again, and the last list stays."""
 
+    def withdraw(self) -> None:
+        """This proxy takes no more calls; the list is still followed."""
+
     def end(self) -> None: ...
--- /dev/null
+++ b/tests/test_registry_states.py
@@ -0,0 +1,248 @@
+"""Both registries against stand-ins: a model of Eureka's list under random steps, the board's poll."""
+
+from __future__ import annotations
+
+import json
+import queue
+import socket
+import threading
+from typing import Any
+
+import hypothesis.strategies as st
+import pytest
+from hypothesis import settings as hypothesis_settings
+from hypothesis.stateful import RuleBasedStateMachine, rule
+
+from capershelf.config import EurekaRegistry
+from capershelf.core.clock import ManualClock, SystemClock
+from capershelf.core.model import News
+from capershelf.interface import Standing
+from capershelf.net.http import HttpClient, HttpError, parse_head
+from capershelf.registry.board import Board
+from capershelf.registry.eureka import Eureka, EurekaError
+
+CONFIG = EurekaRegistry("http://127.0.0.1:1/eureka", "BOOKING", "PROXY", 1000.0, 5000.0)
+STANDINGS = {"UP": Standing.ACTIVE, "DOWN": Standing.DRAINING, "OUT_OF_SERVICE": Standing.DRAINING,
+             "STARTING": Standing.DRAINING}
+
+
+class StandIn:
+    """Eureka as its public page has it, without the sockets: instances, recent changes, leases."""
+
+    def __init__(self) -> None:
+        self.instances: dict[tuple[str, str], dict[str, Any]] = {}
+        self.changes: list[dict[str, Any]] = []
+        self.delta_lost = self.down = False
+        self.asked: list[tuple[str, str]] = []
+
+    def change(self, app: str, name: str, status: str | None) -> None:
+        instance = self.instances.get((app, name)) or {
+            "instanceId": name, "hostName": "h", "app": app, "ipAddr": "127.0.0.1",
+            "port": {"$": 5060 + len(self.instances), "@enabled": "true"}, "metadata": {"place": "1"},
+        }
+        if status is None:
+            self.instances.pop((app, name), None)
+        else:
+            instance = self.instances[app, name] = instance | {"status": status}
+        self.changes.append(instance | {"actionType": "DELETED" if status is None else "MODIFIED"})
+
+    def request(self, method: str, path: str, deadline_ms: float, body: bytes = b"",
+                fields: dict[str, str] | None = None) -> tuple[int, bytes]:
+        self.asked.append((method, path))
+        if self.down:
+            raise ConnectionRefusedError
+        if (method, path) == ("GET", "/eureka/apps"):
+            return self.answer(list(self.instances.values()))
+        if (method, path) == ("GET", "/eureka/apps/delta"):
+            changes, self.changes = self.changes, []
+            return self.answer([] if self.delta_lost else changes)
+        if (method, path) == ("POST", "/eureka/apps/PROXY"):
+            instance = json.loads(body)["instance"]
+            self.change("PROXY", instance["instanceId"], instance["status"])
+            return 204, b""
+        known = ("PROXY", "p1") in self.instances
+        if (method, path) == ("PUT", "/eureka/apps/PROXY/p1"):
+            return (200 if known else 404), b""
+        if (method, path) == ("DELETE", "/eureka/apps/PROXY/p1"):
+            self.change("PROXY", "p1", None)
+            return (200 if known else 404), b""
+        raise AssertionError((method, path))
+
+    def answer(self, instances: list[dict[str, Any]]) -> tuple[int, bytes]:
+        by_app: dict[str, list[dict[str, Any]]] = {}
+        for instance in instances:
+            by_app.setdefault(instance["app"], []).append(instance)
+        statuses = sorted(instance["status"] for instance in self.instances.values())
+        code = "".join(f"{status}_{statuses.count(status)}_" for status in sorted(set(statuses)))
+        applications = [{"name": app, "instance": found[0] if len(found) == 1 else found}
+                        for app, found in by_app.items()]
+        return 200, json.dumps({"applications": {"versions__delta": "1", "apps__hashcode": code,
+                                                 "application": applications}}).encode()
+
+    def close(self) -> None: ...
+
+
+class EurekaStates(RuleBasedStateMachine):
+    def __init__(self) -> None:
+        super().__init__()
+        self.news: list[News] = []
+        self.sound = False  # no change was lost since the last whole list
+        self.stand_in = StandIn()
+        self.eureka = Eureka(CONFIG, "p1", "127.0.0.1:5060", ManualClock(), self.news.append)
+        self.eureka._client = self.stand_in  # type: ignore[assignment]
+
+    @rule(app=st.sampled_from(["BOOKING", "OTHER"]), name=st.sampled_from(["a", "b", "c"]),
+          status=st.sampled_from([*STANDINGS, None]))
+    def instance_changes(self, app: str, name: str, status: str | None) -> None:
+        if status is not None or (app, name) in self.stand_in.instances:
+            self.stand_in.change(app, name, status)
+
+    @rule(lost=st.booleans(), down=st.booleans())
+    def registry_changes(self, lost: bool, down: bool) -> None:
+        self.stand_in.delta_lost, self.stand_in.down = lost, down
+
+    @rule()
+    def fetch(self) -> None:
+        told = len(self.news)
+        if self.stand_in.down:
+            assert not self.eureka._attempt(self.eureka.fetch)
+            assert len(self.news) == told, "news of a list that nobody gave"
+            return
+        changed = bool(self.stand_in.changes)
+        assert self.eureka._attempt(self.eureka.fetch)
+        expected = {name: STANDINGS[instance["status"]]
+                    for (app, name), instance in self.stand_in.instances.items() if app == "BOOKING"}
+        # A lost change that leaves the counts as they were shows at the next whole list only, as in Eureka.
+        if self.stand_in.asked[-1] == ("GET", "/eureka/apps"):
+            self.sound = True
+        elif self.stand_in.delta_lost and changed:
+            self.sound = False
+        if self.sound:
+            assert {one.listed.server: one.listed.standing for one in self.news[-1].servers} == expected
+            assert self.news[-1].whole
+
+    @rule()
+    def renew(self) -> None:
+        done = self.eureka._attempt(self.eureka.renew)
+        assert done is not self.stand_in.down
+        assert not done or ("PROXY", "p1") in self.stand_in.instances
+
+    @rule()
+    def registry_forgets(self) -> None:
+        if ("PROXY", "p1") in self.stand_in.instances:
+            self.stand_in.change("PROXY", "p1", None)
+
+    @rule()
+    def cancel(self) -> None:
+        registered, asked = self.eureka._registered, len(self.stand_in.asked)
+        assert self.eureka._attempt(self.eureka.cancel) is not (registered and self.stand_in.down)
+        assert self.stand_in.asked[asked:] == registered * [("DELETE", "/eureka/apps/PROXY/p1")]
+        assert not registered or self.stand_in.down or ("PROXY", "p1") not in self.stand_in.instances
+
+
+TestEureka = EurekaStates.TestCase
+TestEureka.settings = hypothesis_settings(
+    derandomize=True, deadline=None, max_examples=80, stateful_step_count=25, database=None
+)
+
+
+def test_up_draining_gone_and_back_are_told_by_changes_alone() -> None:
+    news: list[News] = []
+    stand_in, eureka = StandIn(), Eureka(CONFIG, "p1", "127.0.0.1:1", ManualClock(), news.append)
+    eureka._client = stand_in  # type: ignore[assignment]
+    for status in ("UP", "OUT_OF_SERVICE", None, "UP"):
+        stand_in.change("BOOKING", "a", status)
+        eureka.fetch()
+    eureka.fetch()
+    standings = [[one.listed.standing for one in told.servers] for told in news]
+    assert standings == [[Standing.ACTIVE], [Standing.DRAINING], [], [Standing.ACTIVE]]
+    assert [path for _, path in stand_in.asked] == ["/eureka/apps"] + 4 * ["/eureka/apps/delta"]
+
+
+@pytest.mark.parametrize("answer", [b"{}", b"[]", b'{"applications":[]}', b"x"])
+def test_nonsense_from_eureka_leaves_the_last_list(answer: bytes) -> None:
+    news: list[News] = []
+    stand_in, eureka = StandIn(), Eureka(CONFIG, "p1", "127.0.0.1:1", ManualClock(), news.append)
+    eureka._client = stand_in  # type: ignore[assignment]
+    stand_in.change("BOOKING", "a", "UP")
+    eureka.fetch()
+    stand_in.request = lambda *_: (200, answer)  # type: ignore[method-assign]
+    with pytest.raises((EurekaError, ValueError)):
+        eureka.fetch()
+    assert len(news) == 1
+
+
+class HttpServer:
+    """Answers each request with the next of the bytes given; None closes the connection in its place."""
+
+    def __init__(self, *answers: bytes | None) -> None:
+        self.heads: queue.SimpleQueue[str] = queue.SimpleQueue()
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.endpoint = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        self.answers = list(answers)
+        threading.Thread(target=self.run, daemon=True).start()
+
+    def run(self) -> None:
+        while self.answers:
+            sock, _ = self.listener.accept()
+            with sock:
+                while self.answers:
+                    data = b""
+                    while b"\r\n\r\n" not in data and (more := sock.recv(4096)):
+                        data += more
+                    if not data or (answer := self.answers.pop(0)) is None:
+                        break
+                    self.heads.put(data.decode().split("\r\n")[0])
+                    sock.sendall(answer)
+                    if b"Connection: close" in answer:
+                        break
+
+
+def framed(body: bytes, how: str) -> bytes:
+    if how == "length":
+        return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
+    if how == "chunks":
+        half = len(body) // 2
+        parts = b"".join(b"%x\r\n%s\r\n" % (len(part), part) for part in (body[:half], body[half:]))
+        return b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + parts + b"0\r\n\r\n"
+    return b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + body
+
+
+@pytest.mark.parametrize("how", ["length", "chunks", "close"])
+def test_the_board_is_polled_from_what_is_known_and_after_failures(how: str) -> None:
+    """A closed connection, a refusal and nonsense are passed over; events arrive once and in order."""
+    def notice(number: int, state: str) -> dict[str, Any]:
+        target = {"uid": "s0", "endpoint": "127.0.0.1:9", "pod_group": 3, "state": state, "boot_ms": 5}
+        return {"rev": number, "pool": {"rev": number, "all": number == 1, "targets": [target]}}
+
+    later = json.dumps({"rev": 3, "notices": [notice(2, "draining"), notice(3, "removed")]}).encode()
+    again = json.dumps({"rev": 4, "notices": [notice(3, "removed"), notice(4, "up")]}).encode()
+    server = HttpServer(None, framed(b"no JSON", how), b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n",
+                        framed(later, how), framed(again, how), framed(b'{"rev":4,"notices":[]}', how))
+    told: queue.SimpleQueue[News] = queue.SimpleQueue()
+    board = Board(server.endpoint, {"rev": 1, "notices": [notice(1, "up")]}, SystemClock(), told.put)
+    thread = threading.Thread(target=board.run, daemon=True)
+    thread.start()
+    news = [told.get(timeout=20) for _ in range(4)]
+    board.end()
+    assert [one.version for one in news] == [1, 2, 3, 4]
+    assert [one.servers[0].listed.standing for one in news] == [
+        Standing.ACTIVE, Standing.DRAINING, Standing.GONE, Standing.ACTIVE]
+    assert news[0].whole
+    asked = [server.heads.get(timeout=20) for _ in range(4)]
+    polls = [head.split("&")[0].removeprefix("GET /board/poll?") for head in asked]
+    assert polls == ["watch=1", "watch=1", "watch=1", "watch=3"]
+
+
+@pytest.mark.parametrize("answer", [
+    b"nonsense\r\n\r\n", b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n", b"HTTP/1.1 200 OK\r\n bad\r\n\r\n",
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", b"HTTP/1.1 200 OK\r\nX: " + b"a" * 20000,
+])
+def test_an_answer_that_is_not_http_is_an_error(answer: bytes) -> None:
+    clock = SystemClock()
+    with pytest.raises(HttpError):
+        HttpClient(HttpServer(answer).endpoint, clock).request("GET", "/", clock.now_ms() + 20000.0)
+
+
+def test_heads_are_read_as_they_are_written() -> None:
+    assert parse_head(b"HTTP/1.1 200 OK\r\nA: b\r\na:c ") == ("HTTP/1.1 200 OK", {"a": "b, c"})
