Pass calls without a pace into a server that has few of its usual share out

Cause: control.py, open() and the gap in send(). With more than one call held, calls pass at a pace made from this sender's answers of the last 6 s. At the start there are few, so idle servers are kept from calls, which keeps calls held. Kept: a server that was not pressed in the last 6 s and is not cold is paced only once more is out there than is asked of it in half the wait threshold. At some calls a second that is less than one set-up, so the pace stays as it was. Checked: the new test fails without the change, and without its guard for a server lately pressed.

--- a/capershelf/control.py
+++ b/capershelf/control.py
@@ -41,6 +41,7 @@
 PACE = 2.0  # calls that waited pass a clear gate at so many times the pace of its answers,
 MOST_PACE_MS = 400.0  # and never further apart than this;
 IDLE_PACE = 0.5  # an idle server's gaps are so much shorter
+IDLE_SHARE = 0.5  # a server is idle with no more out than is asked of it in this share of the wait threshold
 # Silence.
 SILENT_FACTOR = 2.0  # times the wait threshold, plus a usual answer time: no answer for so long is silence
 SLOW_FACTOR = 3.0  # usual answer times to add: a small server answers a sender but seldom
@@ -142,6 +143,7 @@
         self.base_ms = math.inf  # least answer time seen: the way there and back and an idle processor
         self.seen_at_ms = self.heard_ms = self.tried_ms = self.probed_ms = -math.inf
         self.next_ms = -math.inf  # when the next of several waiting calls may pass, once clear
+        self.pressed_ms = -math.inf  # when its wait was last over the limit, or it was silent
         self.free_lines: float | None = None
         self.lines = 0.0
         self.cold_turn = 0.0  # part of its gap that this sender still waits before a set-up to it while cold,
@@ -181,7 +183,10 @@
 
     def refresh_flag(self, now_ms: float, limit_ms: float, waiting: bool, since_ms: float = 0.0) -> None:
         """Set or clear the overload flag."""
-        over = self.outstanding > self.threshold or self.wait_ms(now_ms, since_ms) > limit_ms
+        waits = self.wait_ms(now_ms, since_ms) > limit_ms
+        over = waits or self.outstanding > self.threshold
+        if waits or self.silent:
+            self.pressed_ms = now_ms
         self.flagged = over or (self.ratio_high and waiting)
         if not self.flagged:
             self.ratio_high = False
@@ -494,10 +499,21 @@
 
     def open(self, gate: Gate) -> bool:
         """Whether a call may pass now: neither flagged nor silent, paced, and warm or within budget."""
-        paced = len(self.held) > 1 and self.now_ms < gate.next_ms
         shut = gate.standing is not Standing.ACTIVE or self.look(gate) or gate.silent
+        paced = len(self.held) > 1 and self.now_ms < gate.next_ms and not self.idle(gate)
         return not (shut or paced) and self.in_cold_budget(gate)
 
+    def idle(self, gate: Gate) -> bool:
+        """Whether so few of its part of what is asked for are out there that no pace is called for.
+
+        Guards a busy site's first seconds: with few answers to make a pace from, idle servers stood by while
+        calls that came at once were held and refused.  One that was pressed lately, or is cold, is paced.
+        """
+        if self.now_ms - gate.pressed_ms < PACE_MS or self.warmth(gate) < 1.0:
+            return False
+        usual = self.part(gate) * self.asked.value(self.now_ms) * IDLE_SHARE * self.limit_ms
+        return gate.outstanding + 1.0 <= usual
+
     def due(self, gate: Gate) -> bool:
         """Whether this flagged or silent server, with nothing outstanding, may be tried with one call now.
 
@@ -613,12 +629,17 @@
         return min(call.give_up_ms, call.expires_ms - 2.0 * self.settings.tick_ms - TICK_MS)
 
     # -- the rules: every send and every answer passes here -------------------------------------------
+    def warmth(self, gate: Gate) -> float:
+        """How far a server is through its warming up; 1 or more: warm."""
+        if gate.started_ms is None:
+            return math.inf
+        return (self.now_ms - gate.started_ms) / self.settings.ramp_ms
+
     def in_cold_budget(self, gate: Gate) -> bool:
         """Rule 4: this gateway's share of what a cold server may be sent in any window of that length."""
         while gate.sent_at and gate.sent_at[0] <= self.now_ms - self.settings.fall_ms:
             gate.sent_at.popleft()
-        age = math.inf if gate.started_ms is None else (self.now_ms - gate.started_ms) / self.settings.ramp_ms
-        if age >= 1.0:
+        if (age := self.warmth(gate)) >= 1.0:
             return True
         part = self.settings.cold_from + (1.0 - self.settings.cold_from) * max(0.0, age) ** 2
         # What one server does for this sender: its part of the answers, or of what is asked for if none came.
--- a/tests/test_detector.py
+++ b/tests/test_detector.py
@@ -237,3 +237,35 @@
     assert rig.controller.gates["s0"].seen_wait_ms == 0.0
     rig.call(1)
     assert rig.of(api.Send)
+
+
+def test_an_idle_server_of_a_busy_site_takes_calls_without_a_pace_until_it_is_pressed() -> None:
+    """Guards the first seconds: with few answers to make a pace from, idle servers were kept from calls."""
+    rig = Rig(servers=1)
+    gate = rig.controller.gates["s0"]
+    rig.list_of(listed("s0", 0, api.Standing.DRAINING), whole=False)
+    for number in range(200):
+        rig.now_ms += 5
+        rig.call(number, expires_in_ms=9000)
+    rig.list_of(listed("s0", 0), whole=False)
+    rig.tick()
+    sent = len(rig.of(api.Send))
+    assert 3 <= sent <= 50  # some at once, no more than the wait threshold has room for
+    for send in rig.of(api.Send):
+        rig.stands(send.call, wait_ms=20)
+    gate.pressed_ms = rig.now_ms
+    rig.tick()
+    assert len(rig.of(api.Send)) <= 2
+    gate.pressed_ms = -10000.0
+    rig.tick()
+    assert len(rig.of(api.Send)) >= 3
+
+
+def test_calls_held_pass_a_server_that_was_pressed_one_by_one() -> None:
+    rig = Rig(servers=1)
+    rig.call(1, expires_in_ms=9000)
+    rig.tick(600)  # no answer for longer than the wait threshold: pressed
+    for number in range(2, 9):
+        rig.call(number)
+    rig.stands(1, wait_ms=20)
+    assert len(rig.of(api.Send)) <= 2
