Stop as soon as nothing is owed or stands, whatever ends were never heard

Seen while trying the examples: 7.8 s from SIGTERM to the end though all calls had come to theirs; ends kept for callers without a connection held the planner up (planner.py, finished). No new caller can come for them once the listeners are closed. Checked: the new test hangs without the change.

--- a/capershelf/core/planner.py
+++ b/capershelf/core/planner.py
@@ -76,7 +76,9 @@
     def finished(self) -> bool:
         if self._stop is None or self.open_calls:
             return False
-        return not self._calls or self.clock.now_ms() >= self._stop.by_ms
+        # Ends that nobody has heard keep nothing up: no new caller can come for them any more.
+        over = all(call.state is m.State.OVER for call in self._calls.values())
+        return over or self.clock.now_ms() >= self._stop.by_ms
 
     def at(self, when_ms: float, fire: Callable[[], None]) -> None:
         heapq.heappush(self._timers, (when_ms, next(self._count), fire))
--- a/tests/test_loopback.py
+++ b/tests/test_loopback.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from capershelf.core import model as m
 from tests.peers import PATIENCE_S, Stage
 
 A, B, C, D, E, F, G = (f"{n:016x}" for n in range(0xA0, 0xA7))
@@ -255,3 +256,26 @@
         assert first.hear()["type"] == "pong"
     finally:
         stage.end()
+
+
+def test_a_stop_waits_for_what_is_owed_and_stands_but_not_for_ends_unheard(stage: Stage) -> None:
+    """Guards a restart against lost outcomes, and against waiting for callers that can't come any more."""
+    caller = stage.caller()
+    for call in (A, B):
+        caller.set_up(call)
+        assert stage.servers[0].hear()["id"] == call
+    stage.planner.inbox.put(m.Stop(stage.clock.now_ms() + 9000.0))
+    stage.settle()
+    assert not stage.planner.finished()
+    stage.links[0].say("answer", A, sdp="v=0")
+    assert outcome(caller.hear())[:2] == ("answer", A)
+    stage.links[0].say("release", B, cause=17, fields={"note": "sub"})
+    assert outcome(caller.hear())[:3] == ("release", B, 17)
+    assert not stage.planner.finished()
+    caller.leave()
+    stage.until(lambda: stage.planner._calls[int(A, 16)].caller is None)
+    stage.links[0].say("release", A, cause=16)
+    thread = next(t for t in stage.node._threads if t.name == stage.planner.name)
+    thread.join(PATIENCE_S)
+    assert not thread.is_alive()
+    assert stage.planner._unheard
