Test the planners' slots and the routing of calls among them

Until now three planners had only been tried by hand. Each planner of a fleet has a slot of its own in the scaled group-size, and an id goes to one planner however its hex digits are written.

--- a/tests/test_loopback.py
+++ b/tests/test_loopback.py
@@ -9,7 +9,9 @@
 import pytest
 
 from capershelf.core import model as m
+from capershelf.node import planner_settings
 from tests.peers import PATIENCE_S, Stage
+from tests.rig import settings
 
 A, B, C, D, E, F, G = (f"{n:016x}" for n in range(0xA0, 0xA7))
 
@@ -281,3 +283,21 @@
     thread.join(PATIENCE_S)
     assert not thread.is_alive()
     assert stage.planner._unheard
+
+
+def test_planners_take_slots_of_their_own_and_each_call_has_one_planner() -> None:
+    """Guards the shares that the module reckons with: no two planners of a fleet in one slot."""
+    fleet = [
+        planner_settings(settings(gateway_no=number, gateway_count=2), planner, 3)
+        for number in range(2) for planner in range(3)
+    ]
+    assert sorted(one.gateway_no for one in fleet) == list(range(6))
+    assert {one.gateway_count for one in fleet} == {6}
+    stage = Stage(False, planners=3)
+    try:
+        ids = [f"{number:016x}" for number in range(0xA00, 0xA40)]
+        planners = [stage.node._planner_of(call) for call in ids]
+        assert planners == [stage.node._planner_of(call.upper()) for call in ids]
+        assert set(planners) == set(stage.node.planners)
+    finally:
+        stage.end()
