Reread the configuration on SIGHUP and move to the new notice board

With the signal ignored, the old board goes dead and a drain is heard of too late: LINGER_MS + GRACE_MS in registry/board.py were 6.5 s. Cause: cli.py, serve() set handlers for SIGTERM and SIGINT only; Board had one address for life; a poll could not be broken off. Change: serve() takes signals from a queue; Node.reload() moves the registry (board or Eureka) to its new address, HttpClient.move() breaks the open poll off; a wrong file is logged and the old one stays. A poll lingers 1 s and is given up 0.5 s later; after a break the board is asked at once. Checked: tests/test_reload.py runs the program, sends SIGHUP, and fails without the change (exit by signal). Not taken over under way, with a log line: listen addresses, limits, planners, settings.

--- a/capershelf/cli.py
+++ b/capershelf/cli.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import os
+import queue
 import signal
 import sys
-import threading
 from importlib import metadata
 
 import click
@@ -40,21 +40,33 @@
 @CONFIG
 @click.option("--log-level", default="INFO", show_default=True, help="As loguru names them.")
 def serve(path: str | None = None, log_level: str = "INFO") -> None:
-    """Serve until SIGTERM or SIGINT; then answer all that was taken and exit."""
+    """Serve until SIGTERM or SIGINT, then answer all that was taken and exit; SIGHUP reads the
+    configuration again."""
     set_up_log(log_level)
+    signals: queue.SimpleQueue[int] = queue.SimpleQueue()  # the one queue that a handler may put into
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, lambda told, _: signals.put(told))
     try:
         node = Node(configuration.load(os.environ, path))
     except (ValueError, OSError) as problem:
         raise click.ClickException(str(problem)) from problem
-    told = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: told.set())
     node.start()
-    told.wait()
+    while signals.get() == signal.SIGHUP:
+        reload(node, path)
     logger.info("told to stop")
     node.stop()
 
 
+def reload(node: Node, path: str | None) -> None:
+    """Guards service against the new file: whatever is wrong with it, the old one stays in force."""
+    try:
+        node.reload(configuration.load(os.environ, path))
+    except Exception as problem:
+        logger.error("the new configuration is not taken, the old one stays in force: {}", problem)
+    else:
+        logger.info("the configuration has been read again")
+
+
 @main.command()
 def version() -> None:
     """Print the version."""
--- a/capershelf/net/http.py
+++ b/capershelf/net/http.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import contextlib
 import socket
+import threading
 
 from capershelf.core.clock import Clock
 from capershelf.net.buffers import POOL
 from capershelf.net.connection import bound, connect
 
 HEAD_BYTES = 8 * 1024
+CONNECT_MS = 1000.0  # no connection in so long: there is none to be had now
 BODY_BYTES = 4 * 1024 * 1024  # a registry's whole list at the most
 
 
@@ -36,7 +39,9 @@
     """Keeps its connection between requests while the server does."""
 
     def __init__(self, endpoint: str, clock: Clock) -> None:
-        self._endpoint, self._clock = endpoint, clock
+        self._clock = clock
+        self._lock = threading.Lock()  # over what move() changes
+        self._endpoint, self._moved = endpoint, False
         self._sock: socket.socket | None = None
         self._rest = bytearray()
 
@@ -45,35 +50,59 @@
         fields: dict[str, str] | None = None,
     ) -> tuple[int, bytes]:
         """Status and body by the deadline, or an OSError; a kept connection found closed is opened again."""
-        head = f"{method} {path} HTTP/1.1\r\nHost: {self._endpoint}\r\n"
+        head = ""
         for name, value in (fields or {}).items():
             head += f"{name}: {value}\r\n"
         if body or method in ("POST", "PUT"):
             head += f"Content-Length: {len(body)}\r\n"
         data = head.encode() + b"\r\n" + body
+        line = f"{method} {path} HTTP/1.1\r\n"
         kept = self._sock is not None
         try:
-            return self._exchange(data, deadline_ms)
+            return self._exchange(line, data, deadline_ms)
         except (ConnectionError, HttpError) as problem:
             self.close()
             if not kept or isinstance(problem, HttpError):
                 raise
-            return self._exchange(data, deadline_ms)
+            return self._exchange(line, data, deadline_ms)
         except OSError:
             self.close()
             raise
 
+    def move(self, endpoint: str) -> None:
+        """Ask another address from now on.  Any thread may say so; what waits at the old one asks again."""
+        with self._lock:
+            self._endpoint, self._moved = endpoint, True
+            if self._sock is not None:
+                with contextlib.suppress(OSError):
+                    self._sock.shutdown(socket.SHUT_RDWR)  # wakes the thread that reads
+
     def close(self) -> None:
-        if self._sock is not None:
-            self._sock.close()
-            self._sock = None
+        with self._lock:
+            sock, self._sock = self._sock, None
+        if sock is not None:
+            sock.close()
         self._rest.clear()
 
-    def _exchange(self, data: bytes, deadline_ms: float) -> tuple[int, bytes]:
-        if self._sock is None:
-            self._sock = connect(self._endpoint, self._clock, deadline_ms)
-        bound(self._sock, self._clock, deadline_ms)
-        self._sock.sendall(data)
+    def _connected(self, deadline_ms: float) -> tuple[socket.socket, str]:
+        """A connection to the present address, and that address."""
+        if self._moved:
+            self.close()
+        with self._lock:
+            endpoint, self._moved = self._endpoint, False
+            sock = self._sock
+        if sock is None:
+            sock = connect(endpoint, self._clock, min(deadline_ms, self._clock.now_ms() + CONNECT_MS))
+            with self._lock:
+                self._sock = sock
+                if self._moved:  # while it connected: guards against a wait at an address that is given up
+                    raise ConnectionResetError("the address has changed")
+        return sock, endpoint
+
+    def _exchange(self, line: str, data: bytes, deadline_ms: float) -> tuple[int, bytes]:
+        sock, endpoint = self._connected(deadline_ms)
+        bound(sock, self._clock, deadline_ms)
+        sock.sendall(f"{line}Host: {endpoint}\r\n".encode() + data)
         while True:
             first, fields = parse_head(self._until(b"\r\n\r\n", HEAD_BYTES, deadline_ms))
             parts = first.split(" ", 2)
--- a/capershelf/node.py
+++ b/capershelf/node.py
@@ -126,6 +126,29 @@
             front.start()
         logger.info("{} serves on {}", self.config.name, self.config.listen or "no JSON-lines front")
 
+    def reload(self, config: Config) -> None:
+        """Take over what a running proxy can: the registry's address, or a list in the file itself."""
+        old, new = self.config, config
+        address = new.eureka.url if new.eureka is not None else new.board
+        was = old.eureka.url if old.eureka is not None else old.board
+        same_kind = (old.eureka is None) is (new.eureka is None) and bool(address) is bool(was)
+        if same_kind and address != was:
+            for source in self.sources:
+                source.move(address)
+            logger.info("the list of booking servers is now followed at {}", address)
+        elif same_kind and not self.sources and new.known != old.known:
+            for news in read_notices(new.known, -1)[1]:
+                self._news(news)
+        names = {field.name for field in dataclasses.fields(Config)} - {"board", "known", "seed", "eureka"}
+        changed = [name for name in sorted(names) if getattr(old, name) != getattr(new, name)]
+        if not same_kind:
+            changed.append("kind of registry")
+        for name in changed:
+            logger.warning("the new {} holds from the next start on", name)
+        self.config = dataclasses.replace(
+            old, board=new.board, known=new.known, eureka=new.eureka
+        ) if same_kind else old
+
     def stop(self) -> None:
         """Go on for a while, answer all that was taken, then end."""
         self._stopping.set()
--- a/capershelf/registry/board.py
+++ b/capershelf/registry/board.py
@@ -10,12 +10,14 @@
 from capershelf import interface as api
 from capershelf.core.clock import Clock, Inbox
 from capershelf.core.model import Located, News
+from capershelf.net.connection import parse_endpoint
 from capershelf.net.http import HttpClient
 from capershelf.registry.source import Tell
 
-LINGER_MS = 5000.0
-GRACE_MS = 1500.0  # an answer that is so late does not come any more
-AGAIN_MS = (50.0, 100.0, 200.0, 400.0)  # pauses after failures
+# A board that has gone silent is found out after these two: its news counts as told 2 s after the linger.
+LINGER_MS = 1000.0
+GRACE_MS = 500.0  # an answer that is so late does not come any more
+AGAIN_MS = (0.0, 50.0, 100.0, 200.0, 400.0)  # pauses after failures
 STATES = {"up": api.Standing.ACTIVE, "draining": api.Standing.DRAINING, "removed": api.Standing.GONE}
 
 
@@ -66,6 +68,11 @@
     def withdraw(self) -> None:
         """The board holds booking servers only."""
 
+    def move(self, address: str) -> None:
+        """The numbering goes on: the new address is asked for what follows the last event here."""
+        parse_endpoint(address)
+        self._client.move(address)
+
     def end(self) -> None:
         self._over = True
         self._ended.put(True)
@@ -93,6 +100,7 @@
         status, body = self._client.request("GET", path, self._clock.now_ms() + LINGER_MS + GRACE_MS)
         if status != 200:
             raise ValueError(f"answered {status}")
-        self._rev, news = read_notices(json.loads(body), self._rev)
+        rev, news = read_notices(json.loads(body), self._rev)
+        self._rev = max(self._rev, rev)  # guards against old events told again as new
         for one in news:
             self._tell(one)
--- a/capershelf/registry/eureka.py
+++ b/capershelf/registry/eureka.py
@@ -31,6 +31,14 @@
     """An answer that is not of the API."""
 
 
+def split_url(url: str) -> tuple[str, str]:
+    """host:port and the path of the registry's address."""
+    if not url.startswith(HTTP):
+        raise ValueError("eureka.url must begin with http://")
+    endpoint, _, path = url.removeprefix(HTTP).partition("/")
+    return endpoint, "/" + path.strip("/")
+
+
 def as_list(found: Any) -> list[Any]:
     """Eureka writes a list of one as the one."""
     if found is None:
@@ -73,11 +81,8 @@
     """Follows one registry, and keeps this proxy's own registration where that is wanted."""
 
     def __init__(self, config: EurekaRegistry, name: str, listen: str, clock: Clock, tell: Tell) -> None:
-        if not config.url.startswith(HTTP):
-            raise ValueError("eureka.url must begin with http://")
-        endpoint, _, path = config.url.removeprefix(HTTP).partition("/")
+        endpoint, self._base = split_url(config.url)
         self._client = HttpClient(endpoint, clock)
-        self._base = "/" + path.strip("/")
         self._config, self._name, self._listen = config, name, listen
         self._app = config.app.upper()
         self._clock, self._tell = clock, tell
@@ -94,11 +99,17 @@
     def withdraw(self) -> None:
         self._inbox.put("withdraw")
 
+    def move(self, address: str) -> None:
+        split_url(address)
+        self._inbox.put(address)
+
     def end(self) -> None:
         self._inbox.put("end")
 
     def run(self) -> None:
         while (word := self._inbox.take(min(self._fetch_at_ms, self._renew_at_ms))) != "end":
+            if word is not None and word.startswith(HTTP):
+                self._follow(word)
             if word == "withdraw":
                 self._renew_at_ms = math.inf
                 self._attempt(self.cancel)
@@ -111,6 +122,15 @@
                 self._fetch_at_ms = self._clock.now_ms() + (self._config.fetch_ms if done else AGAIN_MS)
         self._client.close()
 
+    def _follow(self, url: str) -> None:
+        """Another registry: its whole list is fetched, and this proxy registers there anew."""
+        endpoint, self._base = split_url(url)
+        self._client.move(endpoint)
+        self._instances, self._registered = None, False
+        self._fetch_at_ms = self._clock.now_ms()
+        if self._renew_at_ms < math.inf:
+            self._renew_at_ms = self._fetch_at_ms
+
     def _attempt(self, what: Any) -> bool:
         """One operation; a registry that fails or talks nonsense must not stop service."""
         try:
--- a/capershelf/registry/source.py
+++ b/capershelf/registry/source.py
@@ -17,4 +17,7 @@
     def withdraw(self) -> None:
         """This proxy takes no more calls; the list is still followed."""
 
+    def move(self, address: str) -> None:
+        """Follow the list at another address from here on; what is known stays."""
+
     def end(self) -> None: ...
--- /dev/null
+++ b/tests/test_reload.py
@@ -0,0 +1,169 @@
+"""SIGHUP on the program itself: the board moves, the numbering goes on, a broken file changes nothing."""
+
+from __future__ import annotations
+
+import json
+import os
+import queue
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import tomllib
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+
+from capershelf import config as configuration
+from capershelf.config import EurekaRegistry
+from capershelf.core.clock import ManualClock
+from capershelf.node import Node
+from capershelf.registry.eureka import Eureka
+from tests.peers import OPERATOR, PATIENCE_S
+
+
+class BoardStandIn:
+    """Keeps each poll open until the test answers it."""
+
+    def __init__(self) -> None:
+        self.polls: queue.SimpleQueue[tuple[str, socket.socket]] = queue.SimpleQueue()
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self) -> None:
+        while True:
+            sock, _ = self.listener.accept()
+            threading.Thread(target=self._read, args=(sock,), daemon=True).start()
+
+    def _read(self, sock: socket.socket) -> None:
+        while data := sock.recv(4096):
+            self.polls.put((data.decode().split("watch=")[1].split("&")[0], sock))
+
+    def poll(self, answer: dict[str, Any] | None = None) -> str:
+        """The number that the next poll asks from; it is answered where an answer is given."""
+        watched, sock = self.polls.get(timeout=PATIENCE_S)
+        if answer is not None:
+            body = json.dumps(answer).encode()
+            sock.sendall(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
+        return watched
+
+
+def table(board: str) -> dict[str, Any]:
+    found = tomllib.loads(OPERATOR.read_text())
+    del found["eureka"], found["websocket"]
+    return found | {"listen": "127.0.0.1:0", "board": board, "known": {"rev": 3, "notices": []}}
+
+
+class Program:
+    """`serve` as a process of its own, its log kept line by line."""
+
+    def __init__(self, path: Path) -> None:
+        environ = os.environ | {"NODE_CONFIG": str(path)}
+        self.process = subprocess.Popen(
+            [sys.executable, "-m", "capershelf", "serve"], env=environ, stderr=subprocess.PIPE, text=True
+        )
+        self.lines: queue.SimpleQueue[str] = queue.SimpleQueue()
+        threading.Thread(target=self._read, daemon=True).start()
+
+    def _read(self) -> None:
+        assert self.process.stderr is not None
+        for line in self.process.stderr:
+            self.lines.put(line)
+
+    def says(self, text: str) -> None:
+        while text not in self.lines.get(timeout=PATIENCE_S):
+            pass
+
+
+@pytest.fixture
+def run(tmp_path: Path) -> Iterator[Callable[[str], tuple[Program, Path]]]:
+    started: list[Program] = []
+
+    def start(board: str) -> tuple[Program, Path]:
+        path = tmp_path / "config.json"
+        path.write_text(json.dumps(table(board)))
+        started.append(Program(path))
+        started[-1].says("serves on")
+        return started[-1], path
+
+    yield start
+    for program in started:
+        program.process.kill()
+        program.process.wait()
+
+
+def test_sighup_moves_to_the_new_board_and_the_numbering_goes_on(
+    run: Callable[[str], tuple[Program, Path]]
+) -> None:
+    old, new = BoardStandIn(), BoardStandIn()
+    program, path = run(old.address)
+    assert old.poll({"rev": 7, "notices": []}) == "3"
+    assert old.poll() == "7"  # this one stays open: the old board tells nothing more
+    path.write_text(json.dumps(table(new.address)))
+    program.process.send_signal(signal.SIGHUP)
+    assert new.poll({"rev": 9, "notices": []}) == "7"
+    assert new.poll() == "9"
+    program.process.send_signal(signal.SIGTERM)
+    assert program.process.wait(PATIENCE_S) == 0
+
+
+@pytest.mark.parametrize("broken", ["", "{", "[]", '{"board": 5}', '{"settings": {}}'])
+def test_a_broken_file_leaves_the_old_configuration_in_force(
+    run: Callable[[str], tuple[Program, Path]], broken: str
+) -> None:
+    board, new = BoardStandIn(), BoardStandIn()
+    program, path = run(board.address)
+    assert board.poll() == "3"
+    path.write_text(broken)
+    program.process.send_signal(signal.SIGHUP)
+    program.says("the old one stays in force")
+    path.write_text(json.dumps(table(new.address)))  # and a sound one is taken later
+    program.process.send_signal(signal.SIGHUP)
+    assert new.poll() == "3"
+
+
+def test_what_only_a_start_can_change_is_left_and_a_list_in_the_file_is_read_again() -> None:
+    def listing(number: int, state: str) -> dict[str, Any]:
+        target = {"uid": "s0", "endpoint": "127.0.0.1:9", "pod_group": 0, "state": state, "boot_ms": 0}
+        notice = {"rev": number, "pool": {"rev": number, "all": True, "targets": [target]}}
+        return {"rev": number, "notices": [notice]}
+
+    first = table("") | {"known": listing(1, "up"), "listen": "127.0.0.1:0"}
+    node = Node(configuration.read(first, {}), ManualClock())
+    planner = node.planners[0]
+    while (event := planner.inbox.take(0.0)) is not None:
+        planner.take(event)
+    assert not planner._known["s0"].gone
+    node.reload(configuration.read(first | {"known": listing(2, "removed"), "planners": 2}, {}))
+    while (event := planner.inbox.take(0.0)) is not None:
+        planner.take(event)
+    assert planner._known["s0"].gone
+    assert node.config.planners == 1
+    node.reload(configuration.read(first | {"board": "127.0.0.1:9"}, {}))
+    assert node.config.board == ""
+    planner.servers.close("s0")
+    node.fronts[0].stop_accepting()
+
+
+def test_eureka_moves_with_its_own_registration() -> None:
+    asked: list[tuple[str, str]] = []
+    config = EurekaRegistry("http://127.0.0.1:1/eureka", "BOOKING", "PROXY", 1000.0, 5000.0)
+    eureka = Eureka(config, "p1", "127.0.0.1:5060", ManualClock(), lambda news: None)
+
+    def request(method: str, path: str, *_: Any) -> tuple[int, bytes]:
+        asked.append((method, path))
+        return (204, b"") if method == "POST" else (200, b'{"applications":{"apps__hashcode":""}}')
+
+    eureka._client.request = request  # type: ignore[method-assign,assignment]
+    eureka.renew()
+    eureka.fetch()
+    eureka._follow("http://127.0.0.1:2/other")
+    eureka.renew()
+    eureka.fetch()
+    assert asked == [("POST", "/eureka/apps/PROXY"), ("GET", "/eureka/apps"),
+                     ("POST", "/other/apps/PROXY"), ("GET", "/other/apps")]
+    assert eureka._client._endpoint == "127.0.0.1:2"
