Police callers and servers on their connections: refuse, hang up, replace

A probe of each session and link showed: usual callers send their first byte within 2 ms and share 4 connections a proxy; bad ones send 400 set-ups under one id, classes and figures out of range, or nothing. Servers tell their state every 500 ms, and nothing more comes after a spoilt answer. Lines at fault: planner._come_back gave an open call to whoever sent its id; session._message passed over what it could not read; Lines skipped endless lines for good; vocabulary.set_up_of let any width, dest and left through; listener._admit turned new callers away while idle ones kept their places; Link._message ignored what it could not read and kept the connection.

--- a/capershelf/control.py
+++ b/capershelf/control.py
@@ -15,7 +15,7 @@
 from capershelf.interface import (
     Action, AttemptOver, CallClass, CallerGone, Cancel, Event, Fail, ListedServer, Log, NewCall, Probe,
     Refuse, Report, Result, Send, ServerList, ServerReport, SetTimer, Settings, Standing, Stands, TimerFired,
-    Why,
+    WayMended, Why,
 )
 
 # The detector, as the paper and the design page have it.
@@ -251,6 +251,9 @@
             case ServerReport():
                 if event.result is Result.OK:
                     self.take_report(self.gates.get(event.server), event.report)
+            case WayMended():
+                if (gate := self.gates.get(event.server)) is not None and not gate.errors:
+                    gate.silent, gate.seen_wait_ms, gate.pressed_ms = False, 0.0, -math.inf
             case CallerGone():
                 self.forget(self.calls.get(event.call))
             case TimerFired():
--- a/capershelf/core/model.py
+++ b/capershelf/core/model.py
@@ -84,6 +84,9 @@
     def tell(self, word: Word) -> bool:
         """Pass the word on; False when it can no longer be."""
 
+    def over(self, call_id: str) -> None:
+        """A call of this caller's has ended here, whatever it is told of it."""
+
 
 class Servers(Protocol):
     """The ways to the booking servers, as one planner has them.  Nothing here waits."""
@@ -176,6 +179,14 @@
     caller: Caller
 
 
+@dataclass(frozen=True, slots=True)
+class CallerBarred:
+    """The caller is about to be hung up on for what it sent; done is called once its open calls are ended."""
+
+    caller: Caller
+    done: Callable[[], None]
+
+
 @dataclass(frozen=True, slots=True)
 class ServerAnswered:
     server: str
@@ -208,6 +219,7 @@
 class LinkUp:
     server: str
     epoch: int
+    mended: bool = False  # in place of one that was of no further use: the silence on it was not the server's
 
 
 @dataclass(frozen=True, slots=True)
@@ -251,6 +263,6 @@
 
 
 Event = (
-    SetUpCame | CallerReleased | CallerCame | CallerLost | ServerAnswered | ServerReleased | ServerTold
-    | LinkUp | LinkDown | News | Stop | Reached
+    SetUpCame | CallerReleased | CallerCame | CallerLost | CallerBarred
+    | ServerAnswered | ServerReleased | ServerTold | LinkUp | LinkDown | News | Stop | Reached
 )
--- a/capershelf/core/planner.py
+++ b/capershelf/core/planner.py
@@ -93,6 +93,9 @@
                 self._caller_came(event.caller)
             case m.CallerLost():
                 self._caller_lost(event.caller)
+            case m.CallerBarred(caller, done):
+                self._caller_barred(caller)
+                done()
             case m.ServerAnswered():
                 self._answered(event)
             case m.ServerReleased():
@@ -115,7 +118,7 @@
     def _set_up(self, request: m.SetUp, caller: m.Caller) -> None:
         known = self._calls.get(request.key)
         if known is not None:
-            self._come_back(known, caller)
+            self._come_back(known, request, caller)
             return
         now_ms = self.clock.now_ms()
         if request.call_class not in self._classes:
@@ -131,10 +134,17 @@
             request.key, expires_ms, request.call_class, request.far_end, request.number, None, request.width
         ))
 
-    def _come_back(self, call: m.Call, caller: m.Caller) -> None:
-        """A set-up with the id of a call that is here: its caller has come back; never a new attempt."""
+    def _come_back(self, call: m.Call, request: m.SetUp, caller: m.Caller) -> None:
+        """A set-up with the id of a call that is here: its caller has come back; never a new attempt.
+
+        Guards a call against one that only has its id: the description must be the same, and a front whose
+        calls end with their connection has no one who could come back.
+        """
         if call.caller is caller:
-            logger.warning("call {}: set-up repeated on its connection, ignored", call.request.id)
+            return
+        if not caller.outlived or call.request.description != request.description:
+            logger.warning("call {}: its id was used again for another call", request.id)
+            caller.tell(m.Failed(request.id, m.INVALID))
             return
         logger.info("call {}: its caller is back, {}", call.request.id, call.state.value)
         if call.caller is None and call.state is m.State.STANDS and caller.outlived:
@@ -172,21 +182,26 @@
             else:
                 call.caller, call.lost_host = caller.elsewhere(), caller.host
 
-    def _leave(self, call: m.Call) -> None:
-        """The caller has given the set-up up: nothing is owed, and nothing may be left out."""
+    def _caller_barred(self, caller: m.Caller) -> None:
+        for call in [call for call in self._calls.values() if call.caller is caller]:
+            if call.state is m.State.OPEN:
+                self._leave(call)
+                self._say(call, m.Failed(call.request.id, m.INVALID))
+
+    def _leave(self, call: m.Call, result: api.Result = api.Result.CANCELLED) -> None:
+        """The caller has given the set-up up, or its time is over: nothing may be left out."""
         self._latch(call)
-        self._end_attempt(call, api.Result.CANCELLED, settled=True)
+        self._end_attempt(call, result, settled=True)
         self._feed(api.CallerGone(call.request.key))
         self._forget(call)
+        if call.caller is not None:
+            call.caller.over(call.request.id)
 
     def _expire(self, call: m.Call) -> None:
         """The caller's time is over."""
         if call.state is m.State.OPEN:
             logger.warning("call {}: no outcome by its deadline", call.request.id)
-            self._latch(call)
-            self._end_attempt(call, api.Result.TIMEOUT, settled=True)
-            self._feed(api.CallerGone(call.request.key))
-            self._forget(call)
+            self._leave(call, api.Result.TIMEOUT)
             self._say(call, m.Refused(call.request.id))
         elif call.state is m.State.STANDS and isinstance(call.unheard, m.Answered):
             # Its caller never came back for the answer: what stands is released, once.
@@ -227,8 +242,10 @@
         attempt = call.attempt if call is not None else None
         # An attempt still waiting for its connection can't have been answered: that is of an earlier one.
         ours = attempt is not None and attempt.server == event.server and attempt.epoch is not None
-        if call is None or attempt is None or not ours:
-            if call is None or call.state is not m.State.STANDS or call.server != event.server:
+        if call is None:
+            return  # of a call that is none of ours, or was ended at the server when it was ended here
+        if attempt is None or not ours:
+            if call.state is not m.State.STANDS or call.server != event.server:
                 # Guards against a call that stands for nobody: it was given up while this was on its way.
                 self.servers.release(event.server, event.id, m.NORMAL)
             return
@@ -239,11 +256,14 @@
         call.state = m.State.STANDS
         call.server = event.server
         call.answer = m.Answered(event.id, event.description)
+        caller = call.caller
         if not self._say(call, call.answer):
             call.unheard = call.answer
         self._feed(api.Stands(call.request.key, attempt.number, event.server, now_ms - attempt.sent_ms))
         if event.report is not None:
             self._feed(api.ServerReport(event.server, api.Result.OK, event.report, False))
+        if call.unheard is not None and caller is not None and not caller.outlived:
+            self._expire(call)  # nobody can come back for it
 
     def _server_released(self, event: m.ServerReleased) -> None:
         call = self._calls.get(int(event.id, 16))
@@ -268,6 +288,8 @@
         call.state = m.State.OVER
         server, number = call.server, call.attempts - 1
         self._forget(call)
+        if tell is None and call.caller is not None:
+            call.caller.over(call.request.id)
         word = m.Ended(call.request.id, tell if tell is not None else m.NORMAL)
         if tell is not None and not self._say(call, word):
             call.unheard = word
@@ -306,6 +328,8 @@
         if (server := self._known.get(event.server)) is None:
             return
         server.epoch, server.down_ms = event.epoch, math.inf
+        if event.mended:
+            self._feed(api.WayMended(event.server))
         for call in list(server.calls.values()):
             if call.attempt is not None and call.attempt.epoch is None and call.state is m.State.OPEN:
                 self._dispatch(call, call.attempt, server)
@@ -348,6 +372,7 @@
                 if server is not None:
                     self._gone(server)
             elif server is None or server.gone or server.endpoint != located.endpoint:
+                self._replace(located.endpoint, listed.server)
                 if server is None:
                     server = self._known[listed.server] = m.ServerState(listed.server, located.endpoint)
                 server.endpoint, server.gone = located.endpoint, False
@@ -358,6 +383,17 @@
                     self._gone(server)
         self._feed(api.ServerList(event.version, event.whole, tuple(s.listed for s in event.servers)))
 
+    def _replace(self, endpoint: str, by: str) -> None:
+        """Guards a server from the calls of the one whose address it has taken over."""
+        for server in [one for one in self._known.values() if one.endpoint == endpoint and one.id != by]:
+            logger.info("{}: server {} has the address of {}", self.name, by, server.id)
+            server.gone, server.epoch = True, None
+            del self._known[server.id]
+            self.servers.close(server.id)
+            self._cut_all(server)
+            for call in list(server.calls.values()):
+                self._end_attempt(call, api.Result.RESET)
+
     def _gone(self, server: m.ServerState) -> None:
         if server.gone:
             return
@@ -369,8 +405,9 @@
                 if server.calls:  # a set-up is still out there: it ends by its own deadline first
                     self.at(self.clock.now_ms() + REMOVED_AFTER_MS, clear)
                     return
-                self.servers.close(server.id)
-                self._known.pop(server.id, None)
+                if self._known.get(server.id) is server:
+                    self.servers.close(server.id)
+                    del self._known[server.id]
 
         self.at(self.clock.now_ms() + REMOVED_AFTER_MS, clear)
 
--- a/capershelf/fronts/listener.py
+++ b/capershelf/fronts/listener.py
@@ -9,8 +9,7 @@
 
 from loguru import logger
 
-from capershelf.core.clock import Clock
-from capershelf.fronts.session import Route, Session
+from capershelf.fronts.session import MUFFLE, House, Session
 from capershelf.net.connection import parse_endpoint, start_thread
 from capershelf.net.framing import Framing
 
@@ -24,20 +23,10 @@
     """
 
     def __init__(
-        self,
-        listen: str,
-        framing: Callable[[bool], Framing | None],
-        outlived: bool,
-        most: int,
-        clock: Clock,
-        route: Route,
-        ready: Callable[[], bool],
-        came: Callable[[Session], None],
-        lost: Callable[[Session], None],
+        self, listen: str, framing: Callable[[bool], Framing | None], most: int, house: House
     ) -> None:
-        self._framing, self._outlived, self._most = framing, outlived, most
-        self._clock, self._route, self._ready = clock, route, ready
-        self._came, self._lost = came, lost
+        self._framing, self._most, self._house = framing, most, house
+        house.ended, house.peer_of = self._ended, self._peer_of
         self._sessions: set[Session] = set()
         self._lock = threading.Lock()
         host, port = parse_endpoint(listen)
@@ -65,26 +54,38 @@
     def _admit(self, sock: socket.socket, name: str) -> None:
         with self._lock:
             connected = len(self._sessions)
-        full = connected >= self._most
+        full = connected >= self._most and not self._make_room()
         framing = self._framing(full) if connected < self._most + TURNED_AWAY else None
-        if full:
-            logger.warning("{}: turned away, {} callers are connected", name, connected)
+        if full or framing is None:
+            MUFFLE.warn(self._house.clock.now_ms(), f"{name}: turned away, {connected} callers are connected")
         if framing is None:
             sock.close()
             return
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        session = Session(
-            sock, framing, name, self._outlived, self._clock, self._route, self._ready, self._came,
-            self._ended, self._peer_of,
-        )
+        session = Session(sock, framing, name, self._house)
         with self._lock:
             self._sessions.add(session)
-        session.connection.start()
+        try:
+            session.connection.start()
+        except Exception:  # such as no thread to be had
+            with self._lock:
+                self._sessions.discard(session)
+            framing.done()
+            raise
+
+    def _make_room(self) -> bool:
+        """Hang up on whoever needs it least: the oldest that never spoke, else the longest without a call.
+
+        Guards the usual callers against hundreds that connect and say nothing, or ask once and stay.
+        """
+        with self._lock:
+            found = [session for session in self._sessions if session.spare()]
+        found.sort(key=lambda session: (not session.silent, session.at_ms))
+        return any(session.retire("the front is full") for session in found)
 
     def _ended(self, session: Session) -> None:
         with self._lock:
             self._sessions.discard(session)
-        self._lost(session)
 
     def _peer_of(self, caller: Session) -> Session | None:
         """Another open session of the same caller host."""
--- a/capershelf/fronts/session.py
+++ b/capershelf/fronts/session.py
@@ -2,79 +2,224 @@
 
 from __future__ import annotations
 
+import math
 import socket
+import threading
 from collections.abc import Callable
 
 from loguru import logger
 
 from capershelf.core import model as m
-from capershelf.core.clock import Clock
+from capershelf.core.clock import Clock, Inbox
 from capershelf.net import vocabulary
 from capershelf.net.connection import Connection
-from capershelf.net.framing import Framing
+from capershelf.net.framing import Framing, OverError
+
+# A caller has so long
+HANDSHAKE_MS = 2000.0  # to finish a front's handshake,
+FIRST_MS = 2000.0  # to say anything at all,
+HALF_MS = 1000.0  # for the rest of a message that it has begun,
+IDLE_MS = 6000.0  # and between messages with no call here: it should itself hang up after 4 s.
+BARRED_MS = 500.0  # the planners have so long to end the calls of one that is hung up on
+# What a connection may ask for grows with the calls that stood on it: hundreds at once come from no caller
+# whose calls do, and what they ask for costs the booking servers work.
+OPEN = 64  # set-ups without an outcome, and one more for each call that stood,
+MOST_OPEN = 512  # up to this; what is over it is refused at once
+CREDIT = 256.0  # messages without any effect, such as set-ups taken back
+MOST_CREDIT = 1024.0
+CREDIT_PER_MS = 0.05  # that come back with time;
+EARNED = 4.0  # and with each call that stands
+STRIKES = 8  # set-ups that can't be used, less one for each call that stands
+LOUD, LOUD_MS = 20, 1000.0  # lines about bad callers in so long; the rest are counted
 
-HANDSHAKE_MS = 3000.0  # a caller has so long to finish a front's handshake
 Route = Callable[[str], Callable[[m.Event], None]]
 
 
-class Session:
-    """One caller connection.  One rule meets bad input: a set-up with a readable id is answered at once
-    with cause 100, everything else that can't be read is passed over; both leave a log line and the
-    connection open.
-    """
+class Muffle:
+    """Log lines that callers bring about: guards the log and the processor against a flood of them."""
+
+    def __init__(self) -> None:
+        self._since_ms, self._lines, self._swallowed = -math.inf, 0, 0
+
+    def warn(self, now_ms: float, text: str) -> None:
+        if now_ms - self._since_ms >= LOUD_MS:
+            if self._swallowed:
+                logger.warning("{} more lines about bad callers were left out", self._swallowed)
+            self._since_ms, self._lines, self._swallowed = now_ms, 0, 0
+        self._lines += 1
+        if self._lines <= LOUD:
+            logger.warning("{}", text)
+        else:
+            self._swallowed += 1
+
+
+MUFFLE = Muffle()
+
+
+class House:
+    """What the sessions of one front share: the ways into the planners, and who else is there."""
 
     def __init__(
         self,
-        sock: socket.socket,
-        framing: Framing,
-        name: str,
-        outlived: bool,
         clock: Clock,
+        terms: vocabulary.Terms,
         route: Route,
+        every: Callable[[m.Event], int],
         ready: Callable[[], bool],
-        came: Callable[[Session], None],
-        on_closed: Callable[[Session], None],
-        elsewhere: Callable[[Session], Session | None],
+        outlived: bool,
     ) -> None:
-        self.name = name
+        self.clock, self.terms, self.route, self.every, self.ready = clock, terms, route, every, ready
         self.outlived = outlived
+        self.ended: Callable[[Session], None]
+        self.peer_of: Callable[[Session], Session | None]
+
+
+class Session:
+    """One caller connection, and what it may ask of this proxy; docs/websocket.md has a rule for each kind of
+    bad input.  The ids of its calls are kept while they are open or stand.
+    """
+
+    def __init__(self, sock: socket.socket, framing: Framing, name: str, house: House) -> None:
+        self.name = name
+        self.outlived = house.outlived
         self.host = name.rpartition(":")[0]
-        self._clock, self._route, self._ready, self._closed = clock, route, ready, on_closed
-        self._elsewhere = elsewhere
+        self._house, self._clock = house, house.clock
+        self._lock = threading.Lock()  # over all that follows
+        self._open: set[str] = set()
+        self._stands: set[str] = set()
+        self.silent = True  # it has never sent a whole message
+        self.at_ms = self._clock.now_ms()  # of its last message, or of the last that it was told
+        self._leaving = False
+        self._stood, self._strikes = 0, 0
+        self._credit = CREDIT
+        self._credit_ms = self.at_ms
         self.connection = Connection(
-            sock, framing, self._message, self._ended, name, clock, clock.now_ms() + HANDSHAKE_MS,
-            lambda: came(self),
+            sock, framing, self._message, self._ended, name, self._clock, self.at_ms + HANDSHAKE_MS,
+            self._came, self._due, self._foul,
         )
 
+    # -- what the planners see ------------------------------------------------------------------------
     def elsewhere(self) -> m.Caller | None:
-        return None if self.outlived else self._elsewhere(self)
+        return None if self.outlived else self._house.peer_of(self)
 
     def tell(self, word: m.Word) -> bool:
+        with self._lock:
+            if isinstance(word, m.Answered) and self._leaving:
+                return False  # guards against a call that stands for nobody
+            self._open.discard(word.id)
+            self._stands.discard(word.id)
+            self.at_ms = self._clock.now_ms()
+            self._credit += 1.0
+            if isinstance(word, m.Answered):
+                self._stands.add(word.id)
+                self._stood += 1
+                self._strikes = max(0, self._strikes - 1)
+                self._credit += EARNED
         return self.connection.post(vocabulary.word_bytes(word))
 
+    def over(self, call_id: str) -> None:
+        """A call of this caller's is over, whatever it is told of it."""
+        with self._lock:
+            self._open.discard(call_id)
+            self._stands.discard(call_id)
+
+    # -- what the listener sees -----------------------------------------------------------------------
+    def spare(self) -> bool:
+        """Whether nobody loses anything by this connection's end."""
+        return not (self._open or self._stands or self._leaving)
+
+    def retire(self, reason: str) -> bool:
+        """Hang up, unless there is a call on it by now; nothing is taken from it any more."""
+        with self._lock:
+            if not self.spare():
+                return False
+            self._leaving = True
+        self.connection.close(1001, reason)
+        return True
+
+    # -- the connection's thread ----------------------------------------------------------------------
+    def _came(self) -> None:
+        self._house.every(m.CallerCame(self))
+
     def _ended(self) -> None:
-        self._closed(self)
+        self._house.ended(self)
+        with self._lock:
+            self._leaving, concerned = True, bool(self._open or self._stands)
+        if concerned:
+            self._house.every(m.CallerLost(self))
+
+    def _due(self, half_ms: float) -> float:
+        if half_ms < math.inf:
+            return half_ms + HALF_MS
+        if self.silent:
+            return self.at_ms + FIRST_MS
+        with self._lock:
+            return math.inf if self._open or self._stands else self.at_ms + IDLE_MS
+
+    def _foul(self, reason: str) -> bool:
+        """Last words: the calls open here get their outcome, then the caller is told why it is hung up on."""
+        now_ms = self._clock.now_ms()
+        MUFFLE.warn(now_ms, f"{self.name}: hung up on: {reason}")
+        with self._lock:
+            self._leaving, owed = True, bool(self._open)
+        if owed:
+            done: Inbox[bool] = Inbox(self._clock)
+            for _ in range(self._house.every(m.CallerBarred(self, lambda: done.put(True)))):
+                done.take(now_ms + BARRED_MS)
+        why = {"reason": reason[:100]}
+        return self.connection.post(vocabulary.encode("release", "", m.INVALID, fields=why))
 
     def _message(self, line: bytes) -> None:
         now_ms = self._clock.now_ms()
+        with self._lock:
+            if self._leaving:
+                return  # it crossed the end that this proxy has put to the connection
+            self.silent, self.at_ms = False, now_ms
+            earned = (now_ms - self._credit_ms) * CREDIT_PER_MS
+            self._credit = min(MOST_CREDIT, self._credit + earned) - 1.0
+            self._credit_ms = now_ms
+            spent = self._credit < 0.0
+        if spent:
+            raise OverError("too many messages to no effect", foul=True)
         try:
             message = vocabulary.decode(line)
             self._take(message, now_ms)
+        except vocabulary.UnusableError as problem:
+            MUFFLE.warn(now_ms, f"{self.name}: call {problem.id} can't be used: {problem}")
+            with self._lock:
+                self._strikes += 1
+                out = self._strikes > STRIKES
+            self.tell(m.Failed(problem.id, m.INVALID))
+            if out:
+                raise OverError("too many set-ups that can't be used", foul=True) from problem
         except vocabulary.UnreadableError as problem:
-            logger.warning("{}: bad message: {}", self.name, problem)
-            if problem.id and message["type"] == "setup":
-                self.tell(m.Failed(problem.id, m.INVALID))
+            raise OverError(f"a message that can't be read: {problem}", foul=True) from problem
 
     def _take(self, message: dict[str, object], now_ms: float) -> None:
         kind = message["type"]
         if kind == "setup":
-            request = vocabulary.set_up_of(message, now_ms)
-            self._route(request.id)(m.SetUpCame(request, self))
+            self._set_up(message, now_ms)
         elif kind == "release":
             named = vocabulary.call_id(message)
-            self._route(named)(m.CallerReleased(named, vocabulary.cause_of(message, named), self))
+            self._house.route(named)(m.CallerReleased(named, vocabulary.cause_of(message, named), self))
         elif kind == "ping":
-            named = str(message.get("id", ""))
-            self.connection.post(vocabulary.encode("pong", named, int(self._ready())))
+            named = str(message.get("id", ""))[:16]
+            self.connection.post(vocabulary.encode("pong", named, int(self._house.ready())))
         elif kind not in ("progress", "released", "pong"):
-            raise vocabulary.UnreadableError(f"unknown type {kind!r}")
+            raise vocabulary.UnreadableError(f"unknown type {str(kind)[:40]!r}")
+
+    def _set_up(self, message: dict[str, object], now_ms: float) -> None:
+        named = vocabulary.call_id(message)
+        with self._lock:
+            if named in self._open or named in self._stands:
+                # Which of the two an outcome would be for, nobody could tell.
+                raise OverError(f"two set-ups under the id {named}", foul=True)
+        request = vocabulary.set_up_of(message, now_ms, self._house.terms)
+        with self._lock:
+            full = len(self._open) >= min(MOST_OPEN, OPEN + self._stood)
+            if not full:
+                self._open.add(named)
+        if full:
+            self.tell(m.Refused(named, self._house.terms.wait_ms))
+        else:
+            self._house.route(named)(m.SetUpCame(request, self))
--- a/capershelf/interface.py
+++ b/capershelf/interface.py
@@ -186,6 +186,13 @@
     probe: bool
 
 
+@dataclass(frozen=True, slots=True)
+class WayMended:
+    """A connection of no further use was replaced by one that works: the silence was the connection's."""
+
+    server: str
+
+
 @dataclass(frozen=True, slots=True)
 class TimerFired:
     """A timer that the controller asked for."""
@@ -193,7 +200,7 @@
     name: str
 
 
-Event = NewCall | Stands | AttemptOver | CallerGone | ServerList | ServerReport | TimerFired
+Event = NewCall | Stands | AttemptOver | CallerGone | ServerList | ServerReport | WayMended | TimerFired
 
 
 # Actions: what the host must do, in order.
--- a/capershelf/net/connection.py
+++ b/capershelf/net/connection.py
@@ -7,6 +7,8 @@
 from __future__ import annotations
 
 import contextlib
+import math
+import select
 import socket
 import threading
 from collections import deque
@@ -15,10 +17,13 @@
 from loguru import logger
 
 from capershelf.core.clock import Clock
+from capershelf.net.buffers import MESSAGE_BYTES
 from capershelf.net.framing import Framing, OverError, Reply
 
 OUTBOX_BYTES = 256 * 1024
-DRAIN_MS = 1000.0  # a peer that was told goodbye may take so long to hang up
+DRAIN_MS = 250.0  # a peer that was told goodbye may take so long to hang up,
+DRAIN_BYTES = 64 * 1024  # and what it still sends is read so far: then it is hung up on
+FOUL = 1008  # the close code for a peer whose messages can't be dealt with, where the framing has codes
 STACK_BYTES = 256 * 1024
 
 
@@ -58,9 +63,26 @@
     sock.settimeout(left)
 
 
+def readable(sock: socket.socket, clock: Clock, deadline_ms: float) -> bool:
+    """Wait for something to read; False at the deadline.
+
+    The socket itself stays without a time-out: guards those who write to it from waiting along.
+    """
+    left = clock.seconds_until(deadline_ms)
+    waiting = select.poll()
+    waiting.register(sock, select.POLLIN)
+    return bool(waiting.poll(None if left is None else math.ceil(left * 1000.0)))
+
+
 class Connection:
     """A socket with its framing; on_opened, on_message and, once and last, on_closed are called on the thread
-    that reads.  A peer that has not finished the framing's handshake by open_by_ms is hung up on."""
+    that reads.  A peer that has not finished the framing's handshake by open_by_ms is hung up on.
+
+    due is told since when half a message lies here (inf: none does) and says by when the peer must have
+    sent something; at that time the connection is over, unless on_late says that it may go on.  on_foul may
+    say last words to a peer that is hung up on, and tells whether it has.  Afterwards dropped says why this
+    end hung up, if it did.
+    """
 
     def __init__(
         self,
@@ -72,6 +94,9 @@
         clock: Clock,
         open_by_ms: float,
         on_opened: Callable[[], None] = lambda: None,
+        due: Callable[[float], float] = lambda half_ms: math.inf,
+        on_foul: Callable[[str], bool] = lambda reason: False,
+        on_late: Callable[[], bool] = lambda: False,
     ) -> None:
         self.name = name
         self._sock = sock
@@ -79,11 +104,13 @@
         self._on_message = on_message
         self._on_closed = on_closed
         self._clock, self._open_by_ms, self._on_opened = clock, open_by_ms, on_opened
+        self._due, self._on_foul, self._on_late = due, on_foul, on_late
         self._changed = threading.Condition()
         self._outbox: deque[bytes] = deque()
         self._queued = 0
         self._writing = False
-        self._closed = False
+        self._closed = self._opened = False
+        self.dropped = ""
 
     def start(self) -> None:
         start_thread(self.read, self.name)
@@ -167,38 +194,64 @@
             self._on_closed()
 
     def _read(self) -> None:
-        opened = self._framing.opened
-        if opened:
+        self._opened = self._framing.opened
+        if self._opened:
             self._on_opened()
         else:
             self._post(self._framing.opening())
-            bound(self._sock, self._clock, self._open_by_ms)
-        while count := self._sock.recv_into(self._framing.space()):
-            try:
-                for found in self._framing.filled(count):
-                    if not opened and self._framing.opened:
-                        opened = self._open()
-                    if isinstance(found, Reply):
-                        self._post(found)
-                    else:
-                        self._on_message(found)
-                if not opened and self._framing.opened:
-                    opened = self._open()
-            except OverError as over:
-                logger.debug("{}: {}", self.name, over)
-                if over.farewell and self._post(over.farewell):
-                    self._drain()
-                return
+        half_ms = math.inf
+        try:
+            while count := self._next(half_ms):
+                messages = self._take(count)
+                if not self._framing.half:
+                    half_ms = math.inf
+                elif messages or half_ms == math.inf:
+                    half_ms = self._clock.now_ms()
+        except OverError as over:
+            self.dropped = str(over)
+            said = over.foul and self._on_foul(self.dropped)
+            farewell = over.farewell or (self._framing.farewell(FOUL, self.dropped) if over.foul else b"")
+            if (self._post(farewell) if farewell else said):
+                self._drain()
+
+    def _next(self, half_ms: float) -> int:
+        """Read what comes next into the framing's space; 0 at the peer's end."""
+        while True:
+            until_ms = self._due(half_ms) if self._opened else self._open_by_ms
+            if readable(self._sock, self._clock, until_ms):
+                return self._sock.recv_into(self._framing.space())
+            if not self._opened:
+                raise OverError("its handshake was not over in time")
+            if self._clock.now_ms() < self._due(half_ms):
+                continue  # it has been put off meanwhile
+            if half_ms < math.inf or not self._on_late():
+                raise OverError("half a message without its rest" if half_ms < math.inf else "nothing came",
+                                foul=half_ms < math.inf)
 
-    def _open(self) -> bool:
-        self._sock.settimeout(None)
-        self._on_opened()
-        return True
+    def _take(self, count: int) -> int:
+        """Deal with what was read; how many messages it held."""
+        messages = 0
+        for found in self._framing.filled(count):
+            self._note_opened()
+            if isinstance(found, Reply):
+                self._post(found)
+            else:
+                messages += 1
+                self._on_message(found)
+        self._note_opened()
+        return messages
+
+    def _note_opened(self) -> None:
+        if not self._opened and self._framing.opened:
+            self._opened = True
+            self._on_opened()
 
     def _drain(self) -> None:
         """Wait for the peer to close: an end with unread bytes would reset, and take the farewell with it."""
         self._sock.shutdown(socket.SHUT_WR)
         until_ms = self._clock.now_ms() + DRAIN_MS
-        bound(self._sock, self._clock, until_ms)
-        while self._sock.recv_into(self._framing.space()):
-            bound(self._sock, self._clock, until_ms)
+        most = DRAIN_BYTES
+        while most > 0 and readable(self._sock, self._clock, until_ms):
+            if not (rest := self._sock.recv(MESSAGE_BYTES)):
+                return
+            most -= len(rest)
--- a/capershelf/net/framing.py
+++ b/capershelf/net/framing.py
@@ -5,8 +5,6 @@
 from collections.abc import Iterator
 from typing import Protocol
 
-from loguru import logger
-
 from capershelf.net.buffers import MESSAGE_BYTES, POOL
 
 
@@ -15,11 +13,14 @@
 
 
 class OverError(Exception):
-    """The peer has ended the connection, or broken its rules; farewell goes out first."""
+    """The peer has ended the connection, or broken its rules; farewell goes out first.
+
+    foul: what it sent can't be dealt with, and its owner has last words to say.
+    """
 
-    def __init__(self, reason: str, farewell: bytes = b"") -> None:
+    def __init__(self, reason: str, farewell: bytes = b"", foul: bool = False) -> None:
         super().__init__(reason)
-        self.farewell = farewell
+        self.farewell, self.foul = farewell, foul
 
 
 class Framing(Protocol):
@@ -27,6 +28,10 @@
 
     opened: bool  # whether messages may be sent yet
 
+    @property
+    def half(self) -> bool:
+        """Whether a part of a message lies here and its rest is awaited."""
+
     def opening(self) -> bytes:
         """What this end sends first."""
 
@@ -52,6 +57,10 @@
         self.have = 0
         self._given_back = False
 
+    @property
+    def half(self) -> bool:
+        return self.have > 0
+
     def space(self) -> memoryview:
         return memoryview(self.buffer)[self.have :]
 
@@ -67,16 +76,15 @@
 
 
 class Lines(Buffered):
-    """JSON lines: a line feed ends a message.
+    """JSON lines: a line feed ends a message; one of more than the allowed size ends the connection.
 
-    A line of more than the allowed size is passed over up to its line feed; the connection goes on.
+    Guards against bodies without an end: no more than the buffer is ever read of a message.
     """
 
     def __init__(self) -> None:
         super().__init__()
         self.opened = True
         self._seen = 0  # bytes known to hold no line feed
-        self._skipping = False
 
     def filled(self, count: int) -> Iterator[bytes]:
         self.have += count
@@ -84,16 +92,14 @@
         while (end := self.buffer.find(b"\n", max(start, self._seen), self.have)) >= 0:
             line = bytes(self.buffer[start:end])
             start = self._seen = end + 1
-            if self._skipping or len(line) > MESSAGE_BYTES:
-                logger.warning("a line of over {} bytes was passed over", MESSAGE_BYTES)
-                self._skipping = False
-            elif line.strip():
+            if len(line) > MESSAGE_BYTES:
+                break
+            if line.strip():
                 yield line
         self.drop(start)
         self._seen = self.have
-        if self.have > MESSAGE_BYTES:  # guards the buffer against a line without an end
-            self._skipping = True
-            self.have = self._seen = 0
+        if end >= 0 or self.have > MESSAGE_BYTES:
+            raise OverError(f"a line of over {MESSAGE_BYTES} bytes", foul=True)
 
     def opening(self) -> bytes:
         return b""
--- a/capershelf/net/links.py
+++ b/capershelf/net/links.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import math
 import random
+import socket
 import threading
+from collections import deque
 from collections.abc import Callable
 
 from loguru import logger
@@ -12,10 +15,15 @@
 from capershelf.core.clock import Clock, Inbox
 from capershelf.net import vocabulary
 from capershelf.net.connection import Connection, connect, start_thread
-from capershelf.net.framing import Framing, Lines
+from capershelf.net.framing import Framing, Lines, OverError
 from capershelf.net.websocket import WebSocket
 
 WS = "ws://"  # an endpoint that begins so is spoken to over WebSocket
+HALF_MS = 400.0  # for the rest of a message that a server has begun
+# Servers tell their state unasked.  Where that comes at even gaps, a connection on which nothing has come for
+# somewhat more than one of them is of no further use, whatever is out on it.
+PULSES, EVEN = 3, 1.25  # so many gaps, the longest no more than so many times the shortest
+LATE_PULSE, LATE_MS = 1.4, 50.0  # gaps, and what may come on top
 BACK_OFF_MS = (50.0, 100.0, 200.0, 400.0, 800.0, 1600.0)
 
 Post = Callable[[m.Event], None]
@@ -31,11 +39,15 @@
         self._lock = threading.Lock()
         self._connection: Connection | None = None
         self._epoch = 0
-        self._ended = self._opened = False
+        self._ended = self._opened = self._woken = False
+        self._heard_ms = self._pulse_ms = math.nan
+        self._pulses: deque[float] = deque(maxlen=PULSES)  # the last gaps between two states
         start_thread(self._run, f"link {server}")
 
     def wake(self) -> None:
-        self._wanted.put(True)
+        if not self._woken:  # one is enough: guards the queue while a server stays away
+            self._woken = True
+            self._wanted.put(True)
 
     def end(self) -> None:
         with self._lock:
@@ -54,10 +66,11 @@
 
     def _run(self) -> None:
         failures = 0
+        self._dropped = False
+        self._spare: socket.socket | None = None  # connected in place of one that has fallen silent
         while not self._ended:
             try:
-                address = self.endpoint.removeprefix(WS).partition("/")[0]
-                sock = connect(address, self._clock, self._clock.now_ms() + self._connect_ms)
+                sock, self._spare = self._spare or self._connect(), None
             except (OSError, ValueError) as problem:
                 if failures == 0:
                     logger.info("server {}: no connection: {}", self.server, problem)
@@ -66,8 +79,10 @@
             self._opened = False
             connection = Connection(
                 sock, self._framing(), self._message, lambda: None, f"link {self.server}",
-                self._clock, self._clock.now_ms() + self._connect_ms, self._open,
+                self._clock, self._clock.now_ms() + self._connect_ms, self._open, self._due,
+                on_late=self._late,
             )
+            self._heard_ms, self._pulse_ms = self._clock.now_ms(), math.nan
             with self._lock:
                 self._epoch += 1
                 self._connection = connection
@@ -76,11 +91,17 @@
             connection.read()
             with self._lock:
                 self._connection = None
+            self._dropped = False
             if self._opened:
                 failures = 0
+                if connection.dropped and not self._ended:
+                    logger.warning("server {}: connection dropped: {}", self.server, connection.dropped)
+                    self._dropped = True
                 self._post(m.LinkDown(self.server, self._epoch))
             else:  # connected, but no WebSocket came of it
                 failures = self._failed(failures, False)
+        if self._spare is not None:
+            self._spare.close()
 
     def _framing(self) -> Framing:
         if self.endpoint.startswith(WS):
@@ -90,10 +111,36 @@
 
     def _open(self) -> None:
         self._opened = True
-        self._post(m.LinkUp(self.server, self._epoch))
+        self._post(m.LinkUp(self.server, self._epoch, self._dropped))
+
+    def _due(self, half_ms: float) -> float:
+        """When the connection is of no further use if nothing has come by then."""
+        even = len(self._pulses) == PULSES and max(self._pulses) <= EVEN * min(self._pulses)
+        silent_ms = LATE_PULSE * max(self._pulses) + LATE_MS if even else math.inf
+        return min(self._heard_ms + silent_ms, half_ms + HALF_MS)
+
+    def _late(self) -> bool:
+        """Nothing has come for too long: whether to go on waiting.
+
+        A server that drains is silent too, and takes no new connection.  The old one is kept then, for what
+        stands there: guards against calls cut in a drain.
+        """
+        try:
+            self._spare = self._connect()
+        except ConnectionRefusedError:
+            self._pulses.clear()
+            return True
+        except OSError:
+            pass
+        return False
+
+    def _connect(self) -> socket.socket:
+        address = self.endpoint.removeprefix(WS).partition("/")[0]
+        return connect(address, self._clock, self._clock.now_ms() + self._connect_ms)
 
     def _failed(self, failures: int, refused: bool) -> int:
         """Tell that no connection came up, and pause; the number of failures so far."""
+        self._dropped = False
         self._post(m.LinkDown(self.server, None, refused))
         pause_ms = BACK_OFF_MS[min(failures, len(BACK_OFF_MS) - 1)] * random.uniform(0.8, 1.2)
         self._pause(self._clock.now_ms() + pause_ms)
@@ -102,14 +149,20 @@
     def _pause(self, until_ms: float) -> None:
         while self._clock.now_ms() < until_ms and not self._ended:
             if self._wanted.take(until_ms) is not None:
+                self._woken = False
                 return
 
     def _message(self, line: bytes) -> None:
+        self._heard_ms = now_ms = self._clock.now_ms()
         try:
             event = vocabulary.server_event(self.server, vocabulary.decode(line))
         except vocabulary.UnreadableError as problem:
-            logger.warning("server {}: a message was ignored: {}", self.server, problem)
-            return
+            # What follows on this connection can't be trusted either: its calls get their ends by the reset.
+            raise OverError(f"a message that can't be read: {problem}", foul=True) from problem
+        if isinstance(event, m.ServerTold) and not event.token:
+            if not math.isnan(self._pulse_ms):
+                self._pulses.append(now_ms - self._pulse_ms)
+            self._pulse_ms = now_ms
         if event is not None:
             self._post(event)
 
--- a/capershelf/net/vocabulary.py
+++ b/capershelf/net/vocabulary.py
@@ -9,12 +9,17 @@
 import json
 import math
 import re
+from dataclasses import dataclass
 from typing import Any
 
 from capershelf import interface as api
 from capershelf.core import model as m
+from capershelf.net.buffers import MESSAGE_BYTES
 
 HEX_ID = re.compile("[0-9a-fA-F]{16}")
+WHOLE = re.compile("-?[0-9]{1,9}")
+KEY_LENGTH = 64  # of the number called, at the most
+REFUSED_MS = 1000.0
 DEPTH = 16  # of brackets within each other; more is not of this protocol
 WHYS = {"atb": api.Why.NO_LINE, "acc": api.Why.PROCESSOR_FULL, "sub": api.Why.NUMBER_BUSY}
 RESULTS = {
@@ -31,6 +36,32 @@
         self.id = call_id
 
 
+class UnusableError(UnreadableError):
+    """A set-up whose id can be read and which no booking server could use."""
+
+
+@dataclass(frozen=True, slots=True)
+class Terms:
+    """What a set-up may name here."""
+
+    deadlines: dict[str, float]  # how long a caller may wait at the most, by class
+    widths: frozenset[int]
+    places: frozenset[int] | None  # None: not told
+    wait_ms: float  # how long a caller that is refused for its own number of calls is to stay away
+
+    @classmethod
+    def of(cls, settings: api.Settings) -> Terms:
+        places: set[int] | None = set()
+        for kind in settings.classes:
+            places = places | set(kind.places) if places is not None and kind.places is not None else None
+        return cls(
+            {kind.name: kind.deadline_ms for kind in settings.classes},
+            frozenset(kind.width for kind in settings.classes),
+            frozenset(places) if places is not None else None,
+            min(REFUSED_MS, settings.retry_after_max_ms),
+        )
+
+
 def decode(line: bytes) -> dict[str, Any]:
     """The object in a message."""
     if line.count(b"[") + line.count(b"{") > DEPTH and _depth(line) > DEPTH:
@@ -72,7 +103,8 @@
         message["cause"] = cause
     if sdp is not None:
         message["sdp"] = sdp
-    return json.dumps(message, separators=(",", ":")).encode()
+    # Not as ASCII: guards a message of the allowed size from one of six times that on its way out.
+    return json.dumps(message, separators=(",", ":"), ensure_ascii=False).encode()
 
 
 def call_id(message: dict[str, Any]) -> str:
@@ -111,24 +143,63 @@
     return {name: value for name, _, value in (pair.partition(":") for pair in text.split(";"))}
 
 
-def set_up_of(message: dict[str, Any], now_ms: float) -> m.SetUp:
-    """A caller's set-up, its `left` turned into a deadline at once."""
+def whole_number(text: str, what: str, named: str) -> int:
+    if not WHOLE.fullmatch(text):
+        raise UnreadableError(f"its {what} is no whole number", named)
+    return int(text)
+
+
+def description_of(message: dict[str, Any], named: str) -> str:
+    """The description, which must be there and be text that can be written out again."""
+    sdp = message.get("sdp")
+    if not isinstance(sdp, str) or not sdp:
+        raise UnreadableError("it has no description", named)
+    try:
+        sdp.encode()
+    except UnicodeEncodeError as problem:
+        raise UnreadableError("its description is no text", named) from problem
+    return sdp
+
+
+def set_up_of(message: dict[str, Any], now_ms: float, terms: Terms) -> m.SetUp:
+    """A caller's set-up, its `left` turned into a deadline at once.
+
+    Guards the booking servers: nothing that one of them could not use or read gets past here.
+    """
     named = call_id(message)
+    try:
+        return _set_up_of(message, named, now_ms, terms)
+    except UnreadableError as problem:
+        raise UnusableError(str(problem), named) from problem
+
+
+def _set_up_of(message: dict[str, Any], named: str, now_ms: float, terms: Terms) -> m.SetUp:
     fields = fields_of(message, named)
-    sdp = message.get("sdp", "")
-    if not isinstance(sdp, str):
-        raise UnreadableError("its sdp is no text", named)
-    if not isinstance(fields.get("class"), str):
-        raise UnreadableError("it names no class", named)
+    sdp = description_of(message, named)
+    kind = fields.get("class")
+    if not isinstance(kind, str) or kind not in terms.deadlines:
+        raise UnreadableError(f"its class {str(kind)[:40]!r} is unknown", named)
     left_ms = number_of(fields.get("left"), "left", named)
-    if left_ms <= 0:
-        raise UnreadableError("its time is over", named)
-    extras = pairs_of(str(fields.get("extras", "")))
-    far_end = int(number_of(extras.get("dest", "-1"), "dest", named))
-    width = int(number_of(extras.get("width", "1"), "width", named))
-    return m.SetUp(
-        named, str(fields["class"]), now_ms + left_ms, str(fields.get("key", "")), sdp, far_end, max(1, width)
-    )
+    if not 0 < left_ms <= terms.deadlines[kind]:
+        raise UnreadableError("its left is out of range", named)
+    number = str(fields.get("key", ""))
+    if len(number) > KEY_LENGTH or not number.isascii() or not number.isprintable():
+        raise UnreadableError("its key is no number called", named)
+    extras: dict[str, int] = {}
+    for pair in filter(None, str(fields.get("extras", "")).split(";")):
+        name, colon, value = pair.partition(":")
+        if not colon:
+            raise UnreadableError("its extras are not name:value", named)
+        extras[name] = whole_number(value, f"extra {name[:20]!r}", named)
+    far_end, width = extras.get("dest", -1), extras.get("width", min(terms.widths))
+    if far_end != -1 and (far_end < 0 or terms.places is not None and far_end not in terms.places):
+        raise UnreadableError("its dest is no place", named)
+    if width not in terms.widths:
+        raise UnreadableError("its width is out of range", named)
+    request = m.SetUp(named, kind, now_ms + left_ms, number, sdp, far_end, width)
+    if len(sdp) > MESSAGE_BYTES // 8 and len(set_up_bytes(request, left_ms)) > MESSAGE_BYTES:
+        raise UnreadableError("it is too long to be passed on", named)
+    return request
 
 
 def report_of(fields: dict[str, str | int | float], named: str) -> api.Report | None:
@@ -158,10 +229,7 @@
     if kind == "pong":
         return m.ServerTold(server, report or api.Report(), named, cause_of(message, named) != 0)
     if kind == "answer":
-        sdp = message.get("sdp", "")
-        if not isinstance(sdp, str):
-            raise UnreadableError("its sdp is no text", named)
-        return m.ServerAnswered(server, named, sdp, report)
+        return m.ServerAnswered(server, named, description_of(message, named), report)
     if kind == "release":
         cause = cause_of(message, named)
         result = RESULTS.get(cause, api.Result.ERROR)
--- a/capershelf/net/websocket.py
+++ b/capershelf/net/websocket.py
@@ -84,6 +84,10 @@
         self._parts: bytearray | None = None  # a message in fragments
         self._parts_have = 0
 
+    @property
+    def half(self) -> bool:
+        return self.have > 0 or self._parts is not None
+
     # -- sending --------------------------------------------------------------------------------------
     def opening(self) -> bytes:
         """What the client sends first."""
--- a/capershelf/node.py
+++ b/capershelf/node.py
@@ -16,10 +16,11 @@
 from capershelf.core.clock import Clock, SystemClock
 from capershelf.core.planner import Planner
 from capershelf.fronts.listener import Listener
-from capershelf.fronts.session import Session
+from capershelf.fronts.session import House
 from capershelf.net.connection import start_thread
 from capershelf.net.framing import Framing, Lines
 from capershelf.net.links import Links
+from capershelf.net.vocabulary import Terms
 from capershelf.net.websocket import WebSocket
 from capershelf.registry.board import Board, read_notices
 from capershelf.registry.eureka import Eureka
@@ -65,14 +66,14 @@
         for planner in self.planners:
             planner.servers = Links(self.clock, config.connect_ms, self._from_server(planner))
         self.fronts: list[Listener] = []
+        terms = Terms.of(config.settings)
         wanted = [(config.listen, lines_framing, False)] if config.listen else []
         if config.websocket is not None:
             wanted.append((config.websocket.listen, websocket_framing, True))
         for listen, framing, outlived in wanted:
             most = max(1, config.sockets // 3 // len(wanted))  # callers hold a third of the descriptors
-            self.fronts.append(Listener(
-                listen, framing, outlived, most, self.clock, self._route, self._ready, self._came, self._lost
-            ))
+            house = House(self.clock, terms, self._route, self._every, self._ready, outlived)
+            self.fronts.append(Listener(listen, framing, most, house))
         self.sources: list[Source] = []
         if config.eureka is not None:
             self.sources.append(Eureka(config.eureka, config.name, config.listen, self.clock, self._news))
@@ -103,16 +104,13 @@
         return post
 
     def _news(self, news: m.News) -> None:
-        for planner in self.planners:
-            planner.inbox.put(news)
-
-    def _came(self, session: Session) -> None:
-        for planner in self.planners:
-            planner.inbox.put(m.CallerCame(session))
+        self._every(news)
 
-    def _lost(self, session: Session) -> None:
+    def _every(self, event: m.Event) -> int:
+        """Tell all planners; how many there are."""
         for planner in self.planners:
-            planner.inbox.put(m.CallerLost(session))
+            planner.inbox.put(event)
+        return len(self.planners)
 
     def _ready(self) -> bool:
         return not self._stopping.is_set()
--- a/tests/test_planner_states.py
+++ b/tests/test_planner_states.py
@@ -30,6 +30,8 @@
             self.heard.append(word)
         return self.open
 
+    def over(self, call_id: str) -> None: ...
+
     def elsewhere(self) -> m.Caller | None:
         return None
 
