Pace new servers by the best rate, and don't take out servers that fail part of their set-ups

Cause: control.py, send(): the gap came from this sender's own answers of 6 s alone, so a server new here began at one call in 200 ms (and idle() never holds where the limit is 66 ms). error(): three numbers without a success between, which two errors in five reach every 16 calls; errors on junk that every server fails counted against all. Change: a warm server not pressed for 6 s is paced by half its part of the best rate at least; 8 numbers take a server out, and a number that fails elsewhere too counts nowhere; a call that met an error goes to the same server again where no other has room, three errors at most. Checked: four new tests fail without the change.

--- a/capershelf/control.py
+++ b/capershelf/control.py
@@ -40,12 +40,15 @@
 PACE_MS = 6000.0  # own answers of so long make the pace
 PACE = 2.0  # calls that waited pass a clear gate at so many times the pace of its answers,
 MOST_PACE_MS = 400.0  # and never further apart than this;
+USUAL = 0.5  # share of its part of the best rate that a warm server not pressed lately can surely do
 IDLE_PACE = 0.5  # an idle server's gaps are so much shorter
 IDLE_SHARE = 0.5  # a server is idle with no more out than is asked of it in this share of the wait threshold
 # Silence.
 SILENT_FACTOR = 2.0  # times the wait threshold, plus a usual answer time: no answer for so long is silence
 SLOW_FACTOR = 3.0  # usual answer times to add: a small server answers a sender but seldom
-ERRORS = 3  # numbers that failed at a server with no success between: the server is failing
+ERRORS = 8  # numbers that failed at a server with no success between: the server is failing.  One that fails
+# two in five seldom has so many; what it does answer is worth more than what the others have no room for.
+CALL_ERRORS = 3  # errors that a call may meet before it is given up
 # Trials are paced by the sender's own traffic: their sum over any fleet is a share of a server's usual load.
 TRIAL_GAPS = 1.2  # a flagged one after so many usual gaps, times its wait over the limit squared,
 MOST_GAPS = 8.0  # and no more than these;
@@ -81,7 +84,7 @@
 
     __slots__ = ("number", "id", "kind", "far_end", "weight", "expires_ms", "arrived_ms", "aim_at_ms",
                  "worth", "attempts", "fulls", "tried", "server", "sent_ms", "ready_ms", "cancelled",
-                 "give_up_ms", "timeout_ms")
+                 "give_up_ms", "timeout_ms", "errors")
 
     def __init__(self, event: NewCall, kind: CallClass, now_ms: float) -> None:
         self.id = event.call
@@ -93,7 +96,7 @@
         self.arrived_ms = now_ms
         self.aim_at_ms = now_ms + kind.aim_ms
         self.worth = kind.worth
-        self.attempts = self.fulls = 0
+        self.attempts = self.fulls = self.errors = 0
         self.tried: set[str] = set()
         self.server: str | None = None
         self.sent_ms = 0.0
@@ -150,7 +153,8 @@
         self.cold_ms = -math.inf  # counted from here
         self.sent_at: deque[float] = deque()
         self.answered_at: deque[float] = deque()
-        self.errors: set[str] = set()  # numbers that failed there since the last success
+        self.errors: set[str] = set()  # numbers that failed there, and not elsewhere, since the last success
+        self.failing = False  # silent for its errors
         self.logged: dict[str, float] = {}
 
     # -- the detector ---------------------------------------------------------------------------------
@@ -303,7 +307,7 @@
         self.forget(call)
         gate.errors.clear()
         if gate.silent:
-            gate.silent = False
+            gate.silent = gate.failing = False
             self.log(gate, "answers again")
         if gate.flagged:
             self.release(gate, call.weight)
@@ -351,17 +355,30 @@
 
         A server that answers errors at once looks idle and would draw the traffic.  Errors on several numbers
         without a success between are taken for the server's, whatever it says: one call at a time tries it.
-        Errors on one number alone are the number's.
+        Errors on one number alone are its own, and so are those on a number that fails everywhere: guards
+        the servers against callers that ask for what none of them knows.
         """
-        gate.errors.add(call.number or str(call.id))
+        number = call.number or str(call.id)
+        others = [other for other in self.gates.values() if other is not gate]
+        elsewhere = [other for other in others if number in other.errors]
+        for other in elsewhere:
+            other.errors.discard(number)
+            if other.failing and len(other.errors) < ERRORS:
+                other.silent = other.failing = False
+        if not elsewhere and len(gate.errors) < ERRORS:
+            gate.errors.add(number)
         if len(gate.errors) >= ERRORS and not gate.silent:
             self.fall_silent(gate, "fails set-ups")
+            gate.failing = True
         call.tried.add(gate.id)
+        call.errors += 1
         if why is Why.NUMBER_BUSY and not gate.silent:
             self.busy_until[call.number] = self.now_ms + BUSY_MS
             self.answer(call, Fail(call.id))
-        elif not any(self.takes(other, call) for other in self.gates.values()):
+        elif call.errors >= CALL_ERRORS or not any(self.takes(other, call) for other in others):
             self.answer(call, Fail(call.id))
+        elif not gate.silent and not any(self.takes(other, call) and self.open(other) for other in others):
+            call.tried.discard(gate.id)  # it may do better there than held for one that has no room
 
     def follow_list(self, event: ServerList) -> None:
         if event.version < self.version:
@@ -688,7 +705,12 @@
         # the threshold, faster the less it waits.  Guards against all senders pouring their queues into a
         # server that has just recovered.
         load = min(1.0, gate.wait_ms(self.now_ms, self.woke_ms) / self.limit_ms)
-        gap_ms = min(MOST_PACE_MS, PACE_MS / PACE / max(1, len(gate.answered_at)))
+        rate = len(gate.answered_at) / PACE_MS
+        if self.now_ms - gate.pressed_ms >= PACE_MS and self.warmth(gate) >= 1.0:
+            # Guards a warm server that is new here, or back, from standing by for want of answers to make a
+            # pace from: its part of the best that all have answered it can do.
+            rate = max(rate, USUAL * self.part(gate) * self.best_rate)
+        gap_ms = min(MOST_PACE_MS, 1.0 / (PACE * max(rate, 1.0 / PACE_MS)))
         gate.next_ms = self.now_ms + gap_ms * max(IDLE_PACE, load)
         # A set-up still waiting at its aim is worth little but costs a full set-up's work and its resends:
         # given up, it is dropped there.  Guards against jams that feed on calls already late.
--- a/tests/test_detector.py
+++ b/tests/test_detector.py
@@ -269,3 +269,86 @@
         rig.call(number)
     rig.stands(1, wait_ms=20)
     assert len(rig.of(api.Send)) <= 2
+
+
+def test_a_warm_server_that_is_new_here_is_paced_by_what_it_can_surely_do() -> None:
+    """Guards calls held while an idle server stands by for want of answers to make a pace from."""
+    rig = Rig(servers=1)
+    for number in range(300):  # 50 a second, all answered: the best rate is known
+        rig.now_ms += 20
+        rig.call(number)
+        rig.stands(number, wait_ms=20)
+    rig.list_of(listed("s0", 0, api.Standing.DRAINING), whole=False)
+    for number in range(300, 320):
+        rig.call(number, expires_in_ms=9000)
+    rig.list_of(listed("s1", 0), whole=False)
+    sent = 0
+    for _ in range(16):
+        for send in rig.tick():
+            if isinstance(send, api.Send):
+                assert send.server == "s1"
+                rig.stands(send.call, "s1", wait_ms=20)
+                sent += 1
+    assert sent >= 6, "without it two, one in 200 ms"
+
+
+def failing(rig: Rig, number: int, *servers: str) -> None:
+    """A call that meets an error at each of these."""
+    rig.call(number, far_end=int(servers[0][1]))
+    for server in servers:
+        rig.over(number, server, api.Result.ERROR)
+
+
+def test_a_server_that_fails_some_set_ups_is_used_on_and_one_that_fails_all_is_taken_out() -> None:
+    rig = Rig(servers=2)
+    gate = rig.controller.gates["s0"]
+    for number in range(60):  # two of five fail
+        rig.now_ms += 50
+        rig.call(number)
+        if number % 5 < 2:
+            rig.over(number, "s0", api.Result.ERROR)
+            assert [send.server for send in rig.of(api.Send)] == ["s1"]
+            rig.stands(number, "s1")
+        else:
+            rig.stands(number)
+        assert not gate.silent
+    for number in range(60, 80):
+        rig.now_ms += 50
+        rig.call(number)
+        if rig.of(api.Send)[0].server == "s0":
+            rig.over(number, "s0", api.Result.ERROR)
+        rig.stands(number, "s1")
+    assert gate.silent
+    assert gate.failing
+
+
+def test_numbers_that_fail_everywhere_are_not_the_servers_fault() -> None:
+    """Guards the servers against callers that ask for hundreds of numbers none of them knows."""
+    rig = Rig(servers=2)
+    for number in range(100):
+        rig.now_ms += 20
+        failing(rig, number, "s0", "s1")
+        assert rig.of(api.Fail) == [api.Fail(number)]
+        assert not any(gate.silent for gate in rig.controller.gates.values())
+    for number in range(100, 100 + 3 * 8):  # all at once, before the second server has said anything
+        rig.call(number)
+    for number in range(100, 100 + 3 * 8):
+        rig.over(number, "s0", api.Result.ERROR)
+    assert rig.controller.gates["s0"].failing
+    for number in range(100, 100 + 3 * 8):
+        if rig.controller.calls.get(number) is not None and rig.controller.calls[number].server == "s1":
+            rig.over(number, "s1", api.Result.ERROR)
+    assert not rig.controller.gates["s0"].silent
+    assert len(rig.controller.gates["s0"].errors) < 8
+
+
+def test_a_call_that_failed_is_tried_again_there_when_no_other_has_room_and_not_for_ever() -> None:
+    rig = Rig(servers=2)
+    rig.controller.gates["s1"].flagged = True
+    rig.controller.gates["s1"].seen_wait_ms = 5000.0
+    rig.call(1)
+    for _ in range(2):
+        rig.over(1, "s0", api.Result.ERROR)
+        assert [send.server for send in rig.of(api.Send)] == ["s0"]
+    rig.over(1, "s0", api.Result.ERROR)
+    assert rig.of(api.Fail) == [api.Fail(1)]
