Bound what is kept for servers, calls and callers, and size it by the memory given

Lines at fault: control.follow_list, planner.at, node (most), connection.start, listener._make_room. Change: gates gone for 60 s are dropped; timers are cancelled; callers' places and the bytes of open set-ups come from limits; connections' threads are started without a wait; places are freed four at a time and 100 a second at most; a failed accept pauses. After SIGTERM set-ups that come too late are refused, and a planner ends only with an empty inbox.

--- a/capershelf/config.py
+++ b/capershelf/config.py
@@ -40,6 +40,7 @@
     listen: str  # of the JSON-lines front; empty: off
     seed: int
     sockets: int
+    memory_mb: float
     board: str
     known: Any
     settings: api.Settings
@@ -100,6 +101,7 @@
         listen=str(table.get("listen", environ.get("NODE_LISTEN", ""))),
         seed=seed_number,
         sockets=int(_number(table.get("limits") or {}, "limits.", "sockets", 1024.0)),
+        memory_mb=_number(table.get("limits") or {}, "limits.", "memory_mb", 1024.0),
         board=str(table.get("board") or ""),
         known=table.get("known") or {"rev": 0, "notices": []},
         settings=read_settings(info),
--- a/capershelf/control.py
+++ b/capershelf/control.py
@@ -66,6 +66,7 @@
 LEAST_SPAN_MS = 3000.0  # a rate is never read over less
 RATE_MS = 10000.0  # rates are averages that fade in so long
 BEST_MS = 60000.0  # and the best of the answered rate in so long
+GONE_MS = 60000.0  # a server that is gone is remembered so long: one that comes back is taken for cold
 # Worth.
 STAY = 2.0  # wait, in thresholds, for which a caller must at least stay to be sent to a server in trouble
 KEPT_LINES = 0.03  # share of a server's lines that calls of little worth leave free
@@ -137,6 +138,7 @@
         self.place = listed.place
         self.rank = rank  # position in the sender's hash order
         self.standing = listed.standing
+        self.gone_ms = math.inf  # since when it is gone
         self.started_ms = listed.started_ms
         self.in_load = self.out_load = self.in_average = self.out_average = self.outstanding = 0.0
         self.set_ups, self.threshold = 0, math.inf
@@ -403,7 +405,13 @@
                 gate.started_ms = listed.started_ms or (self.now_ms if came_back else None)
                 gate.silent, gate.free_lines, gate.seen_wait_ms = False, None, 0.0
                 gate.cold_ms, gate.cold_turn = self.now_ms, self.random.random()
-        self.gates = dict(sorted(self.gates.items(), key=lambda item: item[1].rank))
+        for gate in self.gates.values():
+            if gate.standing is not Standing.GONE:
+                gate.gone_ms = math.inf
+            elif gate.gone_ms == math.inf:
+                gate.gone_ms = self.now_ms
+        kept = (g for g in self.gates.values() if g.out or self.now_ms - g.gone_ms < GONE_MS)
+        self.gates = {gate.id: gate for gate in sorted(kept, key=lambda gate: gate.rank)}
         active = sum(1 for gate in self.gates.values() if gate.standing is Standing.ACTIVE)
         self.most_servers = max(self.most_servers, active)
 
--- a/capershelf/core/clock.py
+++ b/capershelf/core/clock.py
@@ -82,6 +82,9 @@
     def put(self, item: T) -> None:
         self._queue.put(item)
 
+    def empty(self) -> bool:
+        return self._queue.empty()
+
     def wake(self) -> None:
         self._queue.put(None)
 
--- a/capershelf/core/model.py
+++ b/capershelf/core/model.py
@@ -113,6 +113,10 @@
     OVER = "over"
 
 
+class Cancellable(Protocol):
+    def cancel(self) -> None: ...
+
+
 @dataclass(slots=True)
 class Attempt:
     """One sending of a call to a booking server; epoch names the connection it went out on, once it did."""
@@ -124,6 +128,13 @@
     connect_by_ms: float
     epoch: int | None = None
     over: bool = False
+    timers: list[Cancellable] = field(default_factory=list)
+
+    def end(self) -> None:
+        """It has ended, and its time-outs with it."""
+        self.over = True
+        for timer in self.timers:
+            timer.cancel()
 
 
 @dataclass(slots=True)
@@ -139,6 +150,7 @@
     server: str = ""  # where it stands
     answer: Word | None = None  # while it stands, for a caller whose connection broke under it
     unheard: Word | None = None  # what its caller has not been told for want of a connection
+    timer: Cancellable | None = None  # when its time here is over
 
 
 @dataclass(slots=True)
--- a/capershelf/core/planner.py
+++ b/capershelf/core/planner.py
@@ -26,6 +26,25 @@
 UNHEARD_MS = 8000.0  # the end of a call is kept so long for a caller without a connection
 
 
+class Timer:
+    """Something to do at a time; a timer that is cancelled lets go of it at once, not only when it is due."""
+
+    __slots__ = ("at_ms", "number", "fire")
+
+    def __init__(self, at_ms: float, number: int, fire: Callable[[], None]) -> None:
+        self.at_ms, self.number, self.fire = at_ms, number, fire
+
+    def __lt__(self, other: Timer) -> bool:
+        return (self.at_ms, self.number) < (other.at_ms, other.number)
+
+    def cancel(self) -> None:
+        self.fire = nothing
+
+
+def nothing() -> None:
+    """What a timer does that was cancelled."""
+
+
 class Planner:
     """Owns the decisions for its part of the calls."""
 
@@ -45,7 +64,7 @@
         self._known: dict[str, m.ServerState] = {}
         self._probes: dict[str, str] = {}
         self._todo: deque[api.Event] = deque()
-        self._timers: list[tuple[float, int, Callable[[], None]]] = []
+        self._timers: list[Timer] = []
         self._count = itertools.count(1)
         self._stop: m.Stop | None = None
         self._now_ms = 0.0
@@ -59,29 +78,31 @@
 
     def step(self) -> None:
         """Take one event or wait for the earliest deadline; then fire what is due."""
-        event = self.inbox.take(self._timers[0][0] if self._timers else math.inf)
+        event = self.inbox.take(self._timers[0].at_ms if self._timers else math.inf)
         if event is not None:
             try:
                 self.take(event)
             except Exception:  # one bad event must not take the thread that everything rests on
                 logger.exception("{}: event {} could not be dealt with", self.name, type(event).__name__)
         now_ms = self.clock.now_ms()
-        while self._timers and self._timers[0][0] <= now_ms:
-            _, _, fire = heapq.heappop(self._timers)
+        while self._timers and self._timers[0].at_ms <= now_ms:
+            timer = heapq.heappop(self._timers)
             try:
-                fire()
+                timer.fire()
             except Exception:  # as above
                 logger.exception("{}: a timer could not be dealt with", self.name)
 
     def finished(self) -> bool:
-        if self._stop is None or self.open_calls:
+        if self._stop is None or self.open_calls or not self.inbox.empty():
             return False
         # Ends that nobody has heard keep nothing up: no new caller can come for them any more.
         over = all(call.state is m.State.OVER for call in self._calls.values())
         return over or self.clock.now_ms() >= self._stop.by_ms
 
-    def at(self, when_ms: float, fire: Callable[[], None]) -> None:
-        heapq.heappush(self._timers, (when_ms, next(self._count), fire))
+    def at(self, when_ms: float, fire: Callable[[], None]) -> Timer:
+        timer = Timer(when_ms, next(self._count), fire)
+        heapq.heappush(self._timers, timer)
+        return timer
 
     def take(self, event: m.Event) -> None:
         match event:
@@ -128,7 +149,7 @@
         call = self._calls[request.key] = m.Call(request, caller)
         self.open_calls += 1
         # Guards against a call without an outcome, whatever the module does: the last word is here.
-        self.at(request.expires_ms, lambda: self._expire(call))
+        call.timer = self.at(request.expires_ms, lambda: self._expire(call))
         expires_ms = max(now_ms, request.expires_ms - DEADLINE_MARGIN_MS)
         self._feed(api.NewCall(
             request.key, expires_ms, request.call_class, request.far_end, request.number, None, request.width
@@ -233,7 +254,7 @@
         if not self._say(call, word):
             call.unheard = word
             self._calls[call.request.key] = call
-            self.at(call.request.expires_ms, lambda: self._forget(call))
+            call.timer = self.at(call.request.expires_ms, lambda: self._forget(call))
 
     # -- booking servers ------------------------------------------------------------------------------
     def _answered(self, event: m.ServerAnswered) -> None:
@@ -249,7 +270,7 @@
                 # Guards against a call that stands for nobody: it was given up while this was on its way.
                 self.servers.release(event.server, event.id, m.NORMAL)
             return
-        attempt.over = True
+        attempt.end()
         call.attempt = None
         if not self._latch(call):
             return
@@ -294,7 +315,7 @@
         if tell is not None and not self._say(call, word):
             call.unheard = word
             self._calls[call.request.key] = self._unheard[call.request.key] = call
-            self.at(self.clock.now_ms() + UNHEARD_MS, lambda: self._forget(call))
+            call.timer = self.at(self.clock.now_ms() + UNHEARD_MS, lambda: self._forget(call))
         self._feed(api.AttemptOver(call.request.key, number, server, result, True, report=report))
 
     def _end_attempt(
@@ -305,7 +326,7 @@
         attempt = call.attempt
         if attempt is None or attempt.over:
             return
-        attempt.over = True
+        attempt.end()
         call.attempt = None
         if (server := self._known.get(attempt.server)) is not None:
             server.calls.pop(call.request.key, None)
@@ -316,6 +337,8 @@
         ))
 
     def _forget(self, call: m.Call) -> None:
+        if call.timer is not None:
+            call.timer.cancel()
         if self._calls.get(call.request.key) is call:
             del self._calls[call.request.key]
         self._unheard.pop(call.request.key, None)
@@ -460,7 +483,7 @@
         attempt = m.Attempt(call.attempts, server_id, now_ms, deadline_ms, connect_by_ms)
         call.attempt = attempt
         call.attempts += 1
-        self.at(deadline_ms, lambda: self._attempt_due(call, attempt))
+        attempt.timers.append(self.at(deadline_ms, lambda: self._attempt_due(call, attempt)))
         if server is None:
             self._end_attempt(call, api.Result.NO_CONNECTION)
             return
@@ -468,7 +491,7 @@
         if server.epoch is not None:
             self._dispatch(call, attempt, server)
         else:
-            self.at(connect_by_ms, lambda: self._connect_due(call, attempt))
+            attempt.timers.append(self.at(connect_by_ms, lambda: self._connect_due(call, attempt)))
             self.servers.wake(server_id)
 
     def _dispatch(self, call: m.Call, attempt: m.Attempt, server: m.ServerState) -> None:
--- a/capershelf/fronts/listener.py
+++ b/capershelf/fronts/listener.py
@@ -13,6 +13,9 @@
 from capershelf.net.connection import parse_endpoint, start_thread
 from capershelf.net.framing import Framing
 
+ROOM = 4  # callers that are hung up on at a time when the front is full
+ROOM_PER_MS, MOST_ROOM = 0.1, 100.0  # and so many in time: turning the others away costs less
+PAUSE_S = 0.05  # before the next accept where one has failed
 TURNED_AWAY = 8  # callers over the limit that may be told so at a time; the next are hung up on
 
 
@@ -29,6 +32,8 @@
         house.ended, house.peer_of = self._ended, self._peer_of
         self._sessions: set[Session] = set()
         self._lock = threading.Lock()
+        self._pause = threading.Event()
+        self._may, self._may_ms = MOST_ROOM, house.clock.now_ms()
         host, port = parse_endpoint(listen)
         self._sock = socket.create_server((host, port), backlog=512)
         self.port: int = self._sock.getsockname()[1]
@@ -43,7 +48,9 @@
             except OSError as problem:
                 if self._sock.fileno() < 0:
                     return
-                logger.warning("accept: {}", problem)  # such as no descriptor left: the next may do
+                logger.warning("accept: {}", problem)  # such as no descriptor left
+                self._make_room(ROOM)
+                self._pause.wait(PAUSE_S)  # guards the processor while that lasts
                 continue
             try:
                 self._admit(sock, f"{address[0]}:{address[1]}")
@@ -54,7 +61,7 @@
     def _admit(self, sock: socket.socket, name: str) -> None:
         with self._lock:
             connected = len(self._sessions)
-        full = connected >= self._most and not self._make_room()
+        full = connected >= self._most and not self._make_room(ROOM)
         framing = self._framing(full) if connected < self._most + TURNED_AWAY else None
         if full or framing is None:
             MUFFLE.warn(self._house.clock.now_ms(), f"{name}: turned away, {connected} callers are connected")
@@ -73,15 +80,22 @@
             framing.done()
             raise
 
-    def _make_room(self) -> bool:
-        """Hang up on whoever needs it least: the oldest that never spoke, else the longest without a call.
+    def _make_room(self, most: int) -> bool:
+        """Hang up on those who need it least: the oldest that never spoke, else the longest without a call.
 
-        Guards the usual callers against hundreds that connect and say nothing, or ask once and stay.
+        Guards the usual callers against hundreds that connect and say nothing, or ask once and stay.  Some
+        go at a time, and so many a second: guards the planners' share of the processor from a crowd's.
         """
+        now_ms = self._house.clock.now_ms()
+        self._may = min(MOST_ROOM, self._may + (now_ms - self._may_ms) * ROOM_PER_MS)
+        self._may_ms = now_ms
+        if self._may < most:
+            return False
+        self._may -= most
         with self._lock:
             found = [session for session in self._sessions if session.spare()]
         found.sort(key=lambda session: (not session.silent, session.at_ms))
-        return any(session.retire("the front is full") for session in found)
+        return sum(session.retire("the front is full") for session in found[:most]) > 0
 
     def _ended(self, session: Session) -> None:
         with self._lock:
--- a/capershelf/fronts/session.py
+++ b/capershelf/fronts/session.py
@@ -67,12 +67,29 @@
         every: Callable[[m.Event], int],
         ready: Callable[[], bool],
         outlived: bool,
+        most_bytes: int = 1 << 20,
     ) -> None:
         self.clock, self.terms, self.route, self.every, self.ready = clock, terms, route, every, ready
         self.outlived = outlived
+        self.closed = False  # no more set-ups are taken: the proxy stops
+        self.most_bytes = most_bytes  # of descriptions in open set-ups, of all callers together
+        self._bytes = 0
+        self._lock = threading.Lock()
         self.ended: Callable[[Session], None]
         self.peer_of: Callable[[Session], Session | None]
 
+    def reserve(self, size: int) -> bool:
+        """Guards a small memory against set-ups of the largest size by the hundred."""
+        with self._lock:
+            if self.closed or self._bytes + size > self.most_bytes:
+                return False
+            self._bytes += size
+            return True
+
+    def give_back(self, size: int) -> None:
+        with self._lock:
+            self._bytes -= size
+
 
 class Session:
     """One caller connection, and what it may ask of this proxy; docs/websocket.md has a rule for each kind of
@@ -85,7 +102,7 @@
         self.host = name.rpartition(":")[0]
         self._house, self._clock = house, house.clock
         self._lock = threading.Lock()  # over all that follows
-        self._open: set[str] = set()
+        self._open: dict[str, int] = {}  # the size of each description
         self._stands: set[str] = set()
         self.silent = True  # it has never sent a whole message
         self.at_ms = self._clock.now_ms()  # of its last message, or of the last that it was told
@@ -95,7 +112,7 @@
         self._credit_ms = self.at_ms
         self.connection = Connection(
             sock, framing, self._message, self._ended, name, self._clock, self.at_ms + HANDSHAKE_MS,
-            self._came, self._due, self._foul,
+            due=self._due, on_foul=self._foul,
         )
 
     # -- what the planners see ------------------------------------------------------------------------
@@ -106,8 +123,7 @@
         with self._lock:
             if isinstance(word, m.Answered) and self._leaving:
                 return False  # guards against a call that stands for nobody
-            self._open.discard(word.id)
-            self._stands.discard(word.id)
+            self._end(word.id)
             self.at_ms = self._clock.now_ms()
             self._credit += 1.0
             if isinstance(word, m.Answered):
@@ -120,8 +136,13 @@
     def over(self, call_id: str) -> None:
         """A call of this caller's is over, whatever it is told of it."""
         with self._lock:
-            self._open.discard(call_id)
-            self._stands.discard(call_id)
+            self._end(call_id)
+
+    def _end(self, call_id: str) -> None:
+        """With the lock: neither open nor standing any more."""
+        self._stands.discard(call_id)
+        if (size := self._open.pop(call_id, None)) is not None:
+            self._house.give_back(size)
 
     # -- what the listener sees -----------------------------------------------------------------------
     def spare(self) -> bool:
@@ -138,13 +159,12 @@
         return True
 
     # -- the connection's thread ----------------------------------------------------------------------
-    def _came(self) -> None:
-        self._house.every(m.CallerCame(self))
-
     def _ended(self) -> None:
         self._house.ended(self)
         with self._lock:
             self._leaving, concerned = True, bool(self._open or self._stands)
+            for call_id in list(self._open):
+                self._end(call_id)
         if concerned:
             self._house.every(m.CallerLost(self))
 
@@ -174,11 +194,13 @@
         with self._lock:
             if self._leaving:
                 return  # it crossed the end that this proxy has put to the connection
-            self.silent, self.at_ms = False, now_ms
+            came, self.silent, self.at_ms = self.silent, False, now_ms
             earned = (now_ms - self._credit_ms) * CREDIT_PER_MS
             self._credit = min(MOST_CREDIT, self._credit + earned) - 1.0
             self._credit_ms = now_ms
             spent = self._credit < 0.0
+        if came:  # with its first message: a connection that says nothing costs the planners nothing
+            self._house.every(m.CallerCame(self))
         if spent:
             raise OverError("too many messages to no effect", foul=True)
         try:
@@ -216,10 +238,11 @@
                 raise OverError(f"two set-ups under the id {named}", foul=True)
         request = vocabulary.set_up_of(message, now_ms, self._house.terms)
         with self._lock:
-            full = len(self._open) >= min(MOST_OPEN, OPEN + self._stood)
-            if not full:
-                self._open.add(named)
-        if full:
+            size = len(request.description)
+            taken = len(self._open) < min(MOST_OPEN, OPEN + self._stood) and self._house.reserve(size)
+            if taken:
+                self._open[named] = size
+        if not taken:
             self.tell(m.Refused(named, self._house.terms.wait_ms))
         else:
             self._house.route(named)(m.SetUpCame(request, self))
--- a/capershelf/net/connection.py
+++ b/capershelf/net/connection.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import _thread
 import contextlib
 import math
 import select
@@ -20,13 +21,23 @@
 from capershelf.net.buffers import MESSAGE_BYTES
 from capershelf.net.framing import Framing, OverError, Reply
 
-OUTBOX_BYTES = 256 * 1024
+OUTBOX_BYTES = 64 * 1024
 DRAIN_MS = 250.0  # a peer that was told goodbye may take so long to hang up,
 DRAIN_BYTES = 64 * 1024  # and what it still sends is read so far: then it is hung up on
 FOUL = 1008  # the close code for a peer whose messages can't be dealt with, where the framing has codes
 STACK_BYTES = 256 * 1024
 
 
+def spawn(target: Callable[[], None]) -> None:
+    """A thread with a small stack that nobody will join.
+
+    Unlike threading's, this does not wait until the new thread runs: guards the thread that accepts callers
+    from standing in line with all the others, once for each caller.
+    """
+    threading.stack_size(STACK_BYTES)
+    _thread.start_new_thread(target, ())
+
+
 def start_thread(target: Callable[[], None], name: str) -> threading.Thread:
     """A daemon thread with a small stack."""
     threading.stack_size(STACK_BYTES)
@@ -113,7 +124,7 @@
         self.dropped = ""
 
     def start(self) -> None:
-        start_thread(self.read, self.name)
+        spawn(self.read)
 
     def post(self, message: bytes) -> bool:
         """Send a message; False if the connection is not open or its peer too slow."""
@@ -142,7 +153,7 @@
             self._queued += len(data)
             if not self._writing:
                 self._writing = True
-                start_thread(self._write, f"{self.name} writer")
+                spawn(self._write)
             return True
 
     def close(self, code: int = 1000, reason: str = "") -> None:
--- a/capershelf/node.py
+++ b/capershelf/node.py
@@ -27,9 +27,17 @@
 from capershelf.registry.source import Source
 
 STILL_ACCEPTING_MS = 900.0  # after SIGTERM: callers go on connecting for a while
+OWN_MB = 22.0  # what the program holds without callers
+CALLER_MB = 0.08  # what a caller's connection takes: thread, buffer and sockets
+HELD_SHARE = 1 / 16  # of the memory may be descriptions of open set-ups
 STANDING_MS = 9000.0  # and so long calls that stand are still passed their end
 
 
+def callers_share(config: Config) -> int:
+    """How many callers may be connected: a third of the descriptors, and what the memory has room for."""
+    return min(config.sockets // 3, int(max(0.0, config.memory_mb - OWN_MB) / CALLER_MB))
+
+
 def planner_settings(settings: api.Settings, number: int, count: int) -> api.Settings:
     """A planner's own slot in a fleet of proxies times planners, so that the shares of each still add up."""
     return dataclasses.replace(
@@ -66,13 +74,18 @@
         for planner in self.planners:
             planner.servers = Links(self.clock, config.connect_ms, self._from_server(planner))
         self.fronts: list[Listener] = []
+        self.houses: list[House] = []
         terms = Terms.of(config.settings)
         wanted = [(config.listen, lines_framing, False)] if config.listen else []
         if config.websocket is not None:
             wanted.append((config.websocket.listen, websocket_framing, True))
         for listen, framing, outlived in wanted:
-            most = max(1, config.sockets // 3 // len(wanted))  # callers hold a third of the descriptors
-            house = House(self.clock, terms, self._route, self._every, self._ready, outlived)
+            most = max(1, callers_share(config) // len(wanted))
+            house = House(
+                self.clock, terms, self._route, self._every, self._ready, outlived,
+                int(config.memory_mb * HELD_SHARE * 2**20) // len(wanted),
+            )
+            self.houses.append(house)
             self.fronts.append(Listener(listen, framing, most, house))
         self.sources: list[Source] = []
         if config.eureka is not None:
@@ -154,6 +167,8 @@
         for source in self.sources:
             source.withdraw()
         time.sleep(self.clock.seconds_until(began_ms + STILL_ACCEPTING_MS) or 0.0)
+        for house in self.houses:
+            house.closed = True  # what still comes is refused at once
         for front in self.fronts:
             front.stop_accepting()
         for planner in self.planners:
--- a/tests/test_caller_states.py
+++ b/tests/test_caller_states.py
@@ -71,7 +71,8 @@
         return True
 
     def every(self, event: m.Event) -> int:
-        self.put.append(event)
+        if not isinstance(event, m.CallerCame):
+            self.put.append(event)
         if isinstance(event, m.CallerBarred):
             for call in sorted(self.owed):
                 assert event.caller.tell(m.Failed(call, m.INVALID))
@@ -168,7 +169,8 @@
 
     @invariant()
     def keeps_only_what_is_open_or_stands(self) -> None:
-        assert self.session._open == self.owed
+        assert set(self.session._open) == self.owed
+        assert self.session._house._bytes == sum(self.session._open.values())
         assert len(self.session._stands) <= self.stood
         busy = bool(self.owed or self.session._stands)
         due_ms = self.session._due(float("inf"))
