--- a/capershelf/control.py
+++ b/capershelf/control.py
@@ -34,6 +34,7 @@
 NEWS_WEIGHT = 0.6  # weight of the newest answer in the seen wait
 # Holding.
 HOLD_SHARE = 0.55  # a call is held no longer than this share of its aim
+AGAIN_MS = 50.0  # one whose attempt broke is held so long after its release, within its aim
 LATE_HOLD_MS = 400.0  # and when its aim is past, or it is worth little, no longer than this
 LATE_TRY_MS = 1500.0  # time-out of an attempt once the aim is past
 POOR = 0.3  # share of the least class worth under which a call is worth little
@@ -45,6 +46,7 @@
 IDLE_SHARE = 0.5  # a server is idle with no more out than is asked of it in this share of the wait threshold
 # Silence.
 SILENT_FACTOR = 2.0  # times the wait threshold, plus a usual answer time: no answer for so long is silence
+OVERTAKEN = 0.5  # wait thresholds by which a set-up must have been sent sooner to be overtaken
 SLOW_FACTOR = 3.0  # usual answer times to add: a small server answers a sender but seldom
 ERRORS = 8  # numbers that failed at a server with no success between: the server is failing.  One that fails
 # two in five seldom has so many; what it does answer is worth more than what the others have no room for.
@@ -133,7 +135,7 @@
 class Gate:
     """Detector and gate of one server for this sender, with the server's judged state."""
 
-    def __init__(self, listed: ListedServer, rank: int) -> None:
+    def __init__(self, listed: ListedServer, rank: int, overtaken_ms: float = math.inf) -> None:
         self.id = listed.server
         self.place = listed.place
         self.rank = rank  # position in the sender's hash order
@@ -144,6 +146,8 @@
         self.set_ups, self.threshold = 0, math.inf
         self.ratio_high = self.flagged = self.silent = False
         self.out: dict[int, Call] = {}  # in the order of sending
+        self.overtaken_ms = overtaken_ms
+        self.passed_ms = -math.inf  # when the latest of the set-ups that it has answered was sent
         self.seen_wait_ms = 0.0
         self.base_ms = math.inf  # least answer time seen: the way there and back and an idle processor
         self.seen_at_ms = self.heard_ms = self.tried_ms = self.probed_ms = -math.inf
@@ -182,11 +186,22 @@
 
         The age counts from since_ms, when this sender last woke: its own pause is not the server's.
         """
-        for call in self.out.values():
+        if (call := self.oldest()) is not None:
             base_ms = self.base_ms if self.base_ms < math.inf else 0.0
             return max(self.seen_wait_ms, now_ms - max(call.sent_ms, since_ms) - base_ms)
         return self.seen_wait_ms
 
+    def overtaken(self, call: Call) -> bool:
+        """Whether one sent well after it was answered: its own answer is lost, or another's business.
+
+        A processor has one line.  Guards a server that works from being held for slow by one lost answer.
+        """
+        return call.sent_ms < self.passed_ms - self.overtaken_ms
+
+    def oldest(self) -> Call | None:
+        """The set-up out for longest that may still be in the processor's line."""
+        return next((call for call in self.out.values() if not self.overtaken(call)), None)
+
     def refresh_flag(self, now_ms: float, limit_ms: float, waiting: bool, since_ms: float = 0.0) -> None:
         """Set or clear the overload flag."""
         waits = self.wait_ms(now_ms, since_ms) > limit_ms
@@ -297,6 +312,7 @@
         if self.woke_ms < self.now_ms or event.wait_ms - gate.base_ms <= self.limit_ms:
             gate.news(self.now_ms, event.wait_ms - gate.base_ms, NEWS_WEIGHT)
         gate.heard_ms = self.now_ms
+        gate.passed_ms = max(gate.passed_ms, call.sent_ms)
         gate.answered_at.append(self.now_ms)
         while gate.answered_at[0] <= self.now_ms - PACE_MS:
             gate.answered_at.popleft()
@@ -324,11 +340,14 @@
         if gate is None or call is None:
             return
         self.take_back(call, gate)
-        if event.result in (Result.TIMEOUT, Result.CANCELLED):
+        if event.result in (Result.TIMEOUT, Result.CANCELLED) and not gate.overtaken(call):
             # At least so long; not longer than it was given, whenever this gateway came to see it.
             gate.seen_wait_ms = max(gate.seen_wait_ms, min(self.now_ms - call.sent_ms, call.timeout_ms))
         if event.result in (Result.TIMEOUT, Result.RESET, Result.CANCELLED):
             call.ready_ms = self.now_ms + self.settings.release_ms
+            # It was out, not held: what is left of its aim after the release is worth a try.
+            if call.ready_ms < call.aim_at_ms:
+                call.give_up_ms = max(call.give_up_ms, min(call.aim_at_ms, call.ready_ms + AGAIN_MS))
         elif event.result is not Result.NOT_SENT and event.result is not Result.NO_CONNECTION:
             gate.heard_ms = self.now_ms
         if event.settled:
@@ -394,7 +413,7 @@
         for listed in event.servers:
             if (gate := self.gates.get(listed.server)) is None:
                 rank = zlib.crc32(f"{self.settings.gateway_no}/{listed.server}".encode())
-                self.gates[listed.server] = gate = Gate(listed, rank)
+                self.gates[listed.server] = gate = Gate(listed, rank, OVERTAKEN * self.limit_ms)
                 gate.cold_ms, gate.cold_turn = self.now_ms, self.random.random()
                 continue
             came_back = gate.standing is Standing.GONE and listed.standing is Standing.ACTIVE
@@ -571,15 +590,17 @@
         self.look(gate)
         base_ms = gate.base_ms if gate.base_ms < math.inf else self.limit_ms
         silent_ms = SILENT_FACTOR * self.limit_ms + SLOW_FACTOR * base_ms
-        oldest_ms = next((call.sent_ms for call in gate.out.values()), self.now_ms)
-        if self.now_ms - max(oldest_ms, gate.heard_ms, self.woke_ms) > silent_ms:
-            if not gate.silent:
-                self.fall_silent(gate)
-            lost = [c for c in gate.out.values() if not c.cancelled and self.now_ms - c.sent_ms > silent_ms]
-            if lost and self.settings.may_cancel and any(map(self.open, self.gates.values())):
-                for call in lost:
-                    call.cancelled = True
-                    self.actions.append(Cancel(call.id, call.attempts - 1))
+        oldest_ms = call.sent_ms if (call := gate.oldest()) is not None else self.now_ms
+        silence = self.now_ms - max(oldest_ms, gate.heard_ms, self.woke_ms) > silent_ms
+        if silence and not gate.silent:
+            self.fall_silent(gate)
+        soon_ms = silent_ms - self.limit_ms  # for one overtaken: no processor's line is to be waited for
+        lost = [c for c in gate.out.values() if not c.cancelled and (
+            self.now_ms - c.sent_ms > (soon_ms if gate.overtaken(c) else silent_ms if silence else math.inf))]
+        if lost and self.settings.may_cancel and any(map(self.open, self.gates.values())):
+            for call in lost:
+                call.cancelled = True
+                self.actions.append(Cancel(call.id, call.attempts - 1))
 
     def fall_silent(self, gate: Gate, what: str = "gives no answers") -> None:
         gate.silent = True
--- a/tests/test_detector.py
+++ b/tests/test_detector.py
@@ -352,3 +352,41 @@
         assert [send.server for send in rig.of(api.Send)] == ["s0"]
     rig.over(1, "s0", api.Result.ERROR)
     assert rig.of(api.Fail) == [api.Fail(1)]
+
+
+def test_one_lost_answer_does_not_make_a_working_server_slow() -> None:
+    """Guards the gate: the processor has one line, and those sent later have been answered long since."""
+    rig = Rig(servers=1)
+    gate = rig.controller.gates["s0"]
+    rig.call(1, expires_in_ms=9000)
+    cancelled: list[int] = []
+    for number in range(2, 20):
+        rig.tick(50)
+        cancelled += [action.call for action in rig.of(api.Cancel)]
+        rig.call(number)
+        assert [send.call for send in rig.of(api.Send)] == [number]
+        rig.tick(25)
+        rig.stands(number)
+        assert not gate.flagged
+        assert not gate.silent
+        if cancelled:
+            break
+    assert cancelled == [1], "it is called off, to be sent again"
+    rig.over(1, "s0", api.Result.CANCELLED)
+    assert gate.seen_wait_ms < 100
+    rig.tick(275)
+    assert not rig.of(api.Send), "its release is awaited"
+    rig.tick(50)
+    assert [send.call for send in rig.of(api.Send)] == [1], "though longer here than a call is held"
+
+
+def test_a_server_that_answers_none_is_slow_all_the_same() -> None:
+    rig = Rig(servers=1)
+    gate = rig.controller.gates["s0"]
+    rig.call(1)
+    rig.tick(50)
+    rig.stands(1)
+    for number in range(2, 6):
+        rig.call(number)
+    rig.tick(700)
+    assert gate.flagged
