--- a/capershelf/control.py
+++ b/capershelf/control.py
@@ -28,13 +28,13 @@
 TRIES = 2  # servers that may answer 'full' before the call is refused
 
 # The threshold in time: what a few set-ups a second tell of a processor's wait.
+WRITTEN_FOR_MS = 262.5  # the wait threshold that the times below from HOLD to TRIAL are written for
 WAIT_SHARE = 0.35  # a wait above this share of the least aim (or resend time) is over the threshold
 DEAR_FACTOR = 1.6  # calls of more than usual worth may join a wait so much longer
 POOR_FACTOR = 0.5  # calls of little worth only one so much shorter
 NEWS_WEIGHT = 0.6  # weight of the newest answer in the seen wait
 # Holding.
 HOLD_SHARE = 0.55  # a call is held no longer than this share of its aim
-AGAIN_MS = 50.0  # one whose attempt broke is held so long after its release, within its aim
 LATE_HOLD_MS = 400.0  # and when its aim is past, or it is worth little, no longer than this
 LATE_TRY_MS = 1500.0  # time-out of an attempt once the aim is past
 POOR = 0.3  # share of the least class worth under which a call is worth little
@@ -230,6 +230,9 @@
         least_aim_ms = min(kind.aim_ms for kind in settings.classes)
         resend_ms = settings.resend_ms if settings.resend_ms > 0 else math.inf
         self.limit_ms = WAIT_SHARE * min(least_aim_ms, 1.5 * resend_ms)
+        # Times that belong to the aims are written for this limit, and go with the one that the settings make.
+        self.scale = self.limit_ms / WRITTEN_FOR_MS
+        self.pace_ms, self.trial_ms = self.scale * PACE_MS, self.scale * TRIAL_MS
         self.gates: dict[str, Gate] = {}
         self.version = -1
         self.calls: dict[int, Call] = {}
@@ -314,7 +317,7 @@
         gate.heard_ms = self.now_ms
         gate.passed_ms = max(gate.passed_ms, call.sent_ms)
         gate.answered_at.append(self.now_ms)
-        while gate.answered_at[0] <= self.now_ms - PACE_MS:
+        while gate.answered_at[0] <= self.now_ms - self.pace_ms:
             gate.answered_at.popleft()
         if self.best_rate > 0:
             self.best_rate *= math.exp((self.answered.at_ms - self.now_ms) / BEST_MS)
@@ -347,7 +350,7 @@
             call.ready_ms = self.now_ms + self.settings.release_ms
             # It was out, not held: what is left of its aim after the release is worth a try.
             if call.ready_ms < call.aim_at_ms:
-                call.give_up_ms = max(call.give_up_ms, min(call.aim_at_ms, call.ready_ms + AGAIN_MS))
+                call.give_up_ms = max(call.give_up_ms, min(call.aim_at_ms, call.ready_ms + 2.0 * TICK_MS))
         elif event.result is not Result.NOT_SENT and event.result is not Result.NO_CONNECTION:
             gate.heard_ms = self.now_ms
         if event.settled:
@@ -463,7 +466,7 @@
             call.worth *= self.settings.over_quota_worth
         hold_ms = HOLD_SHARE * call.kind.aim_ms
         if call.worth < POOR * self.least_worth or call.aim_at_ms <= self.now_ms:
-            hold_ms = LATE_HOLD_MS
+            hold_ms = self.scale * LATE_HOLD_MS
         call.give_up_ms = self.now_ms + hold_ms
         if len(self.first_asked) > self.most_numbers:
             for table in (self.first_asked, self.busy_until):
@@ -556,7 +559,7 @@
         Guards a busy site's first seconds: with few answers to make a pace from, idle servers stood by while
         calls that came at once were held and refused.  One that was pressed lately, or is cold, is paced.
         """
-        if self.now_ms - gate.pressed_ms < PACE_MS or self.warmth(gate) < 1.0:
+        if self.now_ms - gate.pressed_ms < self.pace_ms or self.warmth(gate) < 1.0:
             return False
         usual = self.part(gate) * self.asked.value(self.now_ms) * IDLE_SHARE * self.limit_ms
         return gate.outstanding + 1.0 <= usual
@@ -572,7 +575,7 @@
             return False
         gap_ms = 1.0 / max(1e-9, self.part(gate) * self.asked.value(self.now_ms))
         gaps = min(MOST_GAPS, TRIAL_GAPS * (gate.seen_wait_ms / self.limit_ms) ** 2)
-        pause_ms = max(TRIAL_MS, gap_ms * max(SILENT_GAPS, gaps)) if gate.silent else gap_ms * gaps
+        pause_ms = max(self.trial_ms, gap_ms * max(SILENT_GAPS, gaps)) if gate.silent else gap_ms * gaps
         return self.now_ms - gate.tried_ms >= pause_ms
 
     def part(self, gate: Gate) -> float:
@@ -594,7 +597,10 @@
         silence = self.now_ms - max(oldest_ms, gate.heard_ms, self.woke_ms) > silent_ms
         if silence and not gate.silent:
             self.fall_silent(gate)
-        soon_ms = silent_ms - self.limit_ms  # for one overtaken: no processor's line is to be waited for
+        # One overtaken need not wait for a processor's line; but it is called off only where the way to the
+        # server has lately been seen to work: it could not be heard there else.
+        heard = self.now_ms - gate.heard_ms <= self.limit_ms
+        soon_ms = silent_ms - self.limit_ms if heard else math.inf
         lost = [c for c in gate.out.values() if not c.cancelled and (
             self.now_ms - c.sent_ms > (soon_ms if gate.overtaken(c) else silent_ms if silence else math.inf))]
         if lost and self.settings.may_cancel and any(map(self.open, self.gates.values())):
@@ -641,7 +647,7 @@
                 if self.open(gate):
                     return gate if self.send(call, gate) else None
                 if gate.flagged or gate.silent:
-                    stale = self.now_ms - max(gate.seen_at_ms, gate.probed_ms) > TRIAL_MS
+                    stale = self.now_ms - max(gate.seen_at_ms, gate.probed_ms) > self.trial_ms
                     if self.settings.may_probe and stale:  # only here would an answer change anything
                         gate.probed_ms = self.now_ms
                         self.actions.append(Probe(gate.id))
@@ -734,17 +740,18 @@
         # the threshold, faster the less it waits.  Guards against all senders pouring their queues into a
         # server that has just recovered.
         load = min(1.0, gate.wait_ms(self.now_ms, self.woke_ms) / self.limit_ms)
-        rate = len(gate.answered_at) / PACE_MS
-        if self.now_ms - gate.pressed_ms >= PACE_MS and self.warmth(gate) >= 1.0:
+        rate = len(gate.answered_at) / self.pace_ms
+        if self.now_ms - gate.pressed_ms >= self.pace_ms and self.warmth(gate) >= 1.0:
             # Guards a warm server that is new here, or back, from standing by for want of answers to make a
             # pace from: its part of the best that all have answered it can do.
             rate = max(rate, USUAL * self.part(gate) * self.best_rate)
-        gap_ms = min(MOST_PACE_MS, 1.0 / (PACE * max(rate, 1.0 / PACE_MS)))
+        most_ms = self.scale * MOST_PACE_MS
+        gap_ms = min(most_ms, 1.0 / (PACE * max(rate, 1.0 / self.pace_ms)))
         gate.next_ms = self.now_ms + gap_ms * max(IDLE_PACE, load)
         # A set-up still waiting at its aim is worth little but costs a full set-up's work and its resends:
         # given up, it is dropped there.  Guards against jams that feed on calls already late.
         in_time = call.aim_at_ms > self.now_ms + self.limit_ms
-        last_ms = call.aim_at_ms if in_time else self.now_ms + LATE_TRY_MS
+        last_ms = call.aim_at_ms if in_time else self.now_ms + self.scale * LATE_TRY_MS
         call.timeout_ms = min(last_ms, call.expires_ms) - self.now_ms
         self.actions.append(Send(call.id, gate.id, call.timeout_ms))
         gate.refresh_flag(self.now_ms, self.limit_ms, bool(self.held), self.woke_ms)
--- a/capershelf/net/links.py
+++ b/capershelf/net/links.py
@@ -19,7 +19,9 @@
 from capershelf.net.websocket import WebSocket
 
 WS = "ws://"  # an endpoint that begins so is spoken to over WebSocket
-HALF_MS = 400.0  # for the rest of a message that a server has begun
+# For the rest of a message that a server has begun.  Less than any release time: what is called off while the
+# connection is dead and can't say so must not be sent again before its end has given it up at the server.
+HALF_MS = 150.0
 # Servers tell their state unasked.  Where that comes at even gaps, a connection on which nothing has come for
 # somewhat more than one of them is of no further use, whatever is out on it.
 PULSES, EVEN = 3, 1.25  # so many gaps, the longest no more than so many times the shortest
