--- a/capershelf/control.py
+++ b/capershelf/control.py
@@ -230,7 +230,7 @@
         least_aim_ms = min(kind.aim_ms for kind in settings.classes)
         resend_ms = settings.resend_ms if settings.resend_ms > 0 else math.inf
         self.limit_ms = WAIT_SHARE * min(least_aim_ms, 1.5 * resend_ms)
-        # Times that belong to the aims are written for this limit, and go with the one that the settings make.
+        # Times that belong to the aims are written for one limit, and go with that of the settings.
         self.scale = self.limit_ms / WRITTEN_FOR_MS
         self.pace_ms, self.trial_ms = self.scale * PACE_MS, self.scale * TRIAL_MS
         self.gates: dict[str, Gate] = {}
--- a/capershelf/core/planner.py
+++ b/capershelf/core/planner.py
@@ -185,6 +185,8 @@
         else:
             self.servers.release(call.server, call.request.id, event.cause)
             self._end_standing(call, api.Result.OK)
+            if event.caller is not call.caller:
+                event.caller.over(event.id)
 
     def _caller_came(self, caller: m.Caller) -> None:
         """A new connection is told of the ends that its host has not heard; no connection owns a call."""
--- a/capershelf/fronts/session.py
+++ b/capershelf/fronts/session.py
@@ -27,8 +27,9 @@
 MOST_OPEN = 512  # up to this; what is over it is refused at once
 CREDIT = 256.0  # messages without any effect, such as set-ups taken back
 MOST_CREDIT = 1024.0
-CREDIT_PER_MS = 0.05  # that come back with time;
-EARNED = 4.0  # and with each call that stands
+CREDIT_PER_MS = 0.1  # that come back with time;
+EFFECT = 1.0  # and with each outcome or end;
+EARNED = 4.0  # a call that stands brings more
 STRIKES = 8  # set-ups that can't be used, less one for each call that stands
 LOUD, LOUD_MS = 20, 1000.0  # lines about bad callers in so long; the rest are counted
 
@@ -125,7 +126,7 @@
                 return False  # guards against a call that stands for nobody
             self._end(word.id)
             self.at_ms = self._clock.now_ms()
-            self._credit += 1.0
+            self._credit += EFFECT
             if isinstance(word, m.Answered):
                 self._stands.add(word.id)
                 self._stood += 1
@@ -136,6 +137,8 @@
     def over(self, call_id: str) -> None:
         """A call of this caller's is over, whatever it is told of it."""
         with self._lock:
+            if call_id not in self._open:  # a call that stood was ended, wherever it was set up
+                self._credit += EFFECT
             self._end(call_id)
 
     def _end(self, call_id: str) -> None:
--- a/tests/test_caller_states.py
+++ b/tests/test_caller_states.py
@@ -159,6 +159,17 @@
                 self.strikes = max(0, self.strikes - 1)
         return call
 
+    @precondition(lambda self: not self.gone)
+    @rule(many=st.integers(1, 400))
+    def ends_calls_set_up_elsewhere(self, many: int) -> None:
+        """Any connection will do for that: it has an effect, and is never held against the caller."""
+        before = self.session._credit
+        for _ in range(many):
+            self.send(json.dumps({"type": "release", "id": self.fresh(), "cause": 16}).encode())
+            self.session.over(f"{self.count:016x}")
+        assert not self.gone
+        assert self.session._credit >= min(before, front.MOST_CREDIT)
+
     @rule(call=consumes(standing))
     def is_over(self, call: str) -> None:
         self.session.tell(m.Ended(call, 16))
--- a/tests/test_loopback.py
+++ b/tests/test_loopback.py
@@ -11,8 +11,9 @@
 
 from capershelf.core import model as m
 from capershelf.core.clock import ManualClock
+from capershelf.fronts.session import CREDIT
 from capershelf.interface import ListedServer, Standing
-from capershelf.net.links import Link
+from capershelf.net.links import HALF_MS, Link
 from capershelf.node import planner_settings
 from tests.peers import PATIENCE_S, BookingServer, Stage
 from tests.rig import settings
@@ -270,6 +271,22 @@
     assert len(stage.attempts) == 1
 
 
+def test_a_call_may_be_ended_on_any_connection_and_costs_that_one_nothing(stage: Stage) -> None:
+    caller, other = stage.caller(), stage.caller()
+    for number in range(0x100, 0x100 + 40):
+        call = f"{number:016x}"
+        caller.set_up(call)
+        assert stage.servers[0].hear()["id"] == call
+        stage.links[0].say("answer", call, sdp="v=0")
+        assert outcome(caller.hear())[:2] == ("answer", call)
+        other.say("release", call, cause=16)
+        assert outcome(stage.servers[0].hear())[:3] == ("release", call, 16)
+    stage.settle()
+    sessions = stage.node.fronts[1 if stage.websocket else 0]._sessions
+    assert min(session._credit for session in sessions) >= CREDIT - 1.0
+    assert not any(session._stands for session in sessions)
+
+
 def test_a_caller_that_is_hung_up_on_gets_the_outcomes_it_is_owed(stage: Stage) -> None:
     caller = stage.caller()
     for call in (A, B):
@@ -313,11 +330,12 @@
         assert link._due(math.inf) == math.inf, "no pulse is known yet"
         clock.advance(gap)
         link._message(state)
+    assert HALF_MS < 200.0, "what was called off meanwhile is sent again after its end"
     assert link._due(math.inf) == clock.now_ms() + 1.4 * 510.0 + 50.0
     clock.advance(300.0)
     link._message(b'{"type":"released","id":"00000000000000a0"}')
     assert link._due(math.inf) == clock.now_ms() + 764.0, "whatever comes shows that the connection lives"
-    assert link._due(clock.now_ms()) == clock.now_ms() + 400.0, "half a message"
+    assert link._due(clock.now_ms()) == clock.now_ms() + HALF_MS, "half a message"
     clock.advance(800.0)
     assert not link._late()
     server.peer()  # the spare one
