--- a/tests/test_loopback.py
+++ b/tests/test_loopback.py
@@ -4,6 +4,7 @@
 
 import math
 import socket
+import threading
 from collections.abc import Iterator
 from typing import Any
 
@@ -321,10 +322,11 @@
 
 
 def test_a_link_that_misses_its_servers_pulse_is_replaced_unless_the_server_takes_no_more() -> None:
-    clock, events = ManualClock(), list[m.Event]()
+    clock, up = ManualClock(), threading.Event()
     server = BookingServer(False)
-    link = Link("s", server.endpoint, clock, 500.0, events.append)
+    link = Link("s", server.endpoint, clock, 500.0, lambda event: up.set())
     first = server.peer()
+    assert up.wait(PATIENCE_S)  # the link's own thread has told that the connection is open
     state = b'{"type":"state","id":"0000000000000000","fields":{"load":"spare:1;total:2"}}'
     for gap in (0.0, 500.0, 510.0, 490.0):
         assert link._due(math.inf) == math.inf, "no pulse is known yet"
