Number the connections of all links in one row, and let go of a replaced server's calls

Read: Links.open() began a new Link at epoch 1 for a server that had moved or come back, so the old link's LinkDown(1), told later, took the new connection for broken. planner._replace left the calls in the table of the server it dropped; its clear() timer would have come back each second for good. Change: one counter for all epochs; the table is cleared. Checked: the test of a server that moves fails without the first.

--- a/capershelf/core/planner.py
+++ b/capershelf/core/planner.py
@@ -418,6 +418,7 @@
             self._cut_all(server)
             for call in list(server.calls.values()):
                 self._end_attempt(call, api.Result.RESET)
+            server.calls.clear()
 
     def _gone(self, server: m.ServerState) -> None:
         if server.gone:
--- a/capershelf/net/links.py
+++ b/capershelf/net/links.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import math
 import random
 import socket
@@ -28,6 +29,7 @@
 LATE_PULSE, LATE_MS = 1.4, 50.0  # gaps, and what may come on top
 BACK_OFF_MS = (50.0, 100.0, 200.0, 400.0, 800.0, 1600.0)
 
+EPOCHS = itertools.count(1)  # of all links: guards a server's new link from the end of its old one
 Post = Callable[[m.Event], None]
 
 
@@ -42,7 +44,7 @@
         self._connection: Connection | None = None
         self._epoch = 0
         self._ended = self._opened = self._woken = False
-        self._heard_ms = self._pulse_ms = math.nan
+        self._heard_ms, self._pulse_ms = clock.now_ms(), math.nan
         self._pulses: deque[float] = deque(maxlen=PULSES)  # the last gaps between two states
         start_thread(self._run, f"link {server}")
 
@@ -86,7 +88,7 @@
             )
             self._heard_ms, self._pulse_ms = self._clock.now_ms(), math.nan
             with self._lock:
-                self._epoch += 1
+                self._epoch = next(EPOCHS)
                 self._connection = connection
                 if self._ended:
                     connection.close()
--- a/tests/test_loopback.py
+++ b/tests/test_loopback.py
@@ -431,3 +431,19 @@
         assert set(planners) == set(stage.node.planners)
     finally:
         stage.end()
+
+
+def test_a_server_that_moves_keeps_its_calls_apart_from_its_old_link(stage: Stage) -> None:
+    """Guards the new connection from being taken for broken when the old one's end is told after it."""
+    caller, moved = stage.caller(), BookingServer(stage.websocket)
+    old = stage.planner._known["s0"].epoch
+    listed = ListedServer("s0", 0, Standing.ACTIVE)
+    stage.planner.inbox.put(m.News(2, False, (m.Located(listed, moved.endpoint),)))
+    link = moved.peer()
+    assert stage.links[0].closed.wait(PATIENCE_S)
+    stage.until(lambda: stage.planner._known["s0"].epoch not in (None, old))
+    stage.planner.inbox.put(m.LinkDown("s0", old))
+    caller.set_up(A)
+    assert moved.hear()["id"] == A
+    link.say("answer", A, sdp="v=0")
+    assert outcome(caller.hear())[:2] == ("answer", A)
