Hold a link's new connections to the pulse learned on the ones before

Cause: links.Link._due wanted three even gaps on record. The first state of a connection comes with its opening and the next out of step with it, so that odd gap switched the rule off for the next two seconds, and a connection that died within them was kept for good. Change: the first gap of a connection is left out, and the gap once learned holds for the link's later connections; a refused connect, or four connections in a row that miss it, unlearn it. Checked: the test of the pulse goes over a second connection and fails without the change.

--- a/capershelf/net/links.py
+++ b/capershelf/net/links.py
@@ -27,6 +27,7 @@
 # somewhat more than one of them is of no further use, whatever is out on it.
 PULSES, EVEN = 3, 1.25  # so many gaps, the longest no more than so many times the shortest
 LATE_PULSE, LATE_MS = 1.4, 50.0  # gaps, and what may come on top
+LATES = 4  # connections that miss it one after another: there is no pulse
 BACK_OFF_MS = (50.0, 100.0, 200.0, 400.0, 800.0, 1600.0)
 
 EPOCHS = itertools.count(1)  # of all links: guards a server's new link from the end of its old one
@@ -44,7 +45,10 @@
         self._connection: Connection | None = None
         self._epoch = 0
         self._ended = self._opened = self._woken = False
-        self._heard_ms, self._pulse_ms = clock.now_ms(), math.nan
+        self._heard_ms = self._pulse_ms = clock.now_ms()
+        self._states = 0  # told on this connection
+        self._lates = 0  # connections that fell silent, one after another
+        self._gap_ms = math.inf
         self._pulses: deque[float] = deque(maxlen=PULSES)  # the last gaps between two states
         start_thread(self._run, f"link {server}")
 
@@ -86,7 +90,7 @@
                 self._clock, self._clock.now_ms() + self._connect_ms, self._open, self._due,
                 on_late=self._late,
             )
-            self._heard_ms, self._pulse_ms = self._clock.now_ms(), math.nan
+            self._heard_ms, self._states = self._clock.now_ms(), 0
             with self._lock:
                 self._epoch = next(EPOCHS)
                 self._connection = connection
@@ -119,9 +123,25 @@
 
     def _due(self, half_ms: float) -> float:
         """When the connection is of no further use if nothing has come by then."""
-        even = len(self._pulses) == PULSES and max(self._pulses) <= EVEN * min(self._pulses)
-        silent_ms = LATE_PULSE * max(self._pulses) + LATE_MS if even else math.inf
-        return min(self._heard_ms + silent_ms, half_ms + HALF_MS)
+        return min(self._heard_ms + LATE_PULSE * self._gap_ms + LATE_MS, half_ms + HALF_MS)
+
+    def _pulse(self, now_ms: float) -> None:
+        """A state came unasked.  The first of a connection comes with its opening, and tells no gap.
+
+        What was learned holds for the next connections too: guards against one that dies young.
+        """
+        self._states += 1
+        if self._states > 1:
+            self._lates = 0
+        if self._states > 2:
+            self._pulses.append(now_ms - self._pulse_ms)
+            if len(self._pulses) == PULSES and max(self._pulses) <= EVEN * min(self._pulses):
+                self._gap_ms = max(self._pulses)
+        self._pulse_ms = now_ms
+
+    def _unlearn(self) -> None:
+        self._pulses.clear()
+        self._gap_ms = math.inf
 
     def _late(self) -> bool:
         """Nothing has come for too long: whether to go on waiting.
@@ -132,10 +152,13 @@
         try:
             self._spare = self._connect()
         except ConnectionRefusedError:
-            self._pulses.clear()
+            self._unlearn()
             return True
         except OSError:
             pass
+        self._lates += 1
+        if self._lates >= LATES:  # it has no pulse any more, and is not to be replaced for that for ever
+            self._unlearn()
         return False
 
     def _connect(self) -> socket.socket:
@@ -164,9 +187,7 @@
             # What follows on this connection can't be trusted either: its calls get their ends by the reset.
             raise OverError(f"a message that can't be read: {problem}", foul=True) from problem
         if isinstance(event, m.ServerTold) and not event.token:
-            if not math.isnan(self._pulse_ms):
-                self._pulses.append(now_ms - self._pulse_ms)
-            self._pulse_ms = now_ms
+            self._pulse(now_ms)
         if event is not None:
             self._post(event)
 
--- a/tests/test_loopback.py
+++ b/tests/test_loopback.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import math
+import queue
 import socket
-import threading
 from collections.abc import Iterator
 from typing import Any
 
@@ -14,7 +14,7 @@
 from capershelf.core.clock import ManualClock
 from capershelf.fronts.session import CREDIT
 from capershelf.interface import ListedServer, Standing
-from capershelf.net.links import HALF_MS, Link
+from capershelf.net.links import HALF_MS, LATES, Link
 from capershelf.node import planner_settings
 from tests.peers import PATIENCE_S, BookingServer, Stage
 from tests.rig import settings
@@ -322,13 +322,14 @@
 
 
 def test_a_link_that_misses_its_servers_pulse_is_replaced_unless_the_server_takes_no_more() -> None:
-    clock, up = ManualClock(), threading.Event()
+    clock, told = ManualClock(), queue.SimpleQueue[m.Event]()
     server = BookingServer(False)
-    link = Link("s", server.endpoint, clock, 500.0, lambda event: up.set())
+    link = Link("s", server.endpoint, clock, 500.0, told.put)
     first = server.peer()
-    assert up.wait(PATIENCE_S)  # the link's own thread has told that the connection is open
+    while not isinstance(told.get(timeout=PATIENCE_S), m.LinkUp):  # said by the link's own thread
+        pass
     state = b'{"type":"state","id":"0000000000000000","fields":{"load":"spare:1;total:2"}}'
-    for gap in (0.0, 500.0, 510.0, 490.0):
+    for gap in (0.0, 130.0, 500.0, 510.0, 490.0):  # the first comes with the opening, out of step
         assert link._due(math.inf) == math.inf, "no pulse is known yet"
         clock.advance(gap)
         link._message(state)
@@ -340,22 +341,32 @@
     assert link._due(clock.now_ms()) == clock.now_ms() + HALF_MS, "half a message"
     clock.advance(800.0)
     assert not link._late()
-    server.peer()  # the spare one
+    spare = server.peer()
+    first.leave()
+    while not isinstance(told.get(timeout=PATIENCE_S), m.LinkUp):
+        pass
+    assert link._due(math.inf) == link._heard_ms + 764.0, "the new connection is held to it from its start"
     server.listener.shutdown(socket.SHUT_RDWR)
     server.listener.close()
     assert link._late(), "it drains: the old connection is kept"
     assert link._due(math.inf) == math.inf
-    clock.advance(100.0)
-    link._message(state)
-    clock.advance(900.0)
-    link._message(state)
-    clock.advance(200.0)
-    link._message(state)
-    clock.advance(200.0)
-    link._message(state)
-    assert link._due(math.inf) == math.inf, "uneven: its silence tells nothing"
+    for gap in (100.0, 900.0, 200.0, 200.0, 200.0):
+        assert link._due(math.inf) == math.inf, "uneven: its silence tells nothing"
+        clock.advance(gap)
+        link._message(state)
+    assert link._due(math.inf) < math.inf
+    link.end()
+    assert spare.closed.wait(PATIENCE_S)
+
+
+def test_a_server_without_a_pulse_is_not_replaced_for_ever() -> None:
+    link = Link("s", BookingServer(False).endpoint, ManualClock(), 500.0, lambda event: None)
+    link._gap_ms = 500.0
+    for _ in range(LATES):
+        assert link._due(math.inf) < math.inf
+        assert not link._late()
+    assert link._due(math.inf) == math.inf
     link.end()
-    assert first.closed.wait(PATIENCE_S)
 
 
 def test_a_slow_reader_delays_nobody_else(stage: Stage) -> None:
