--- a/capershelf/memory/ageing.py
+++ b/capershelf/memory/ageing.py
@@ -1,6 +1,7 @@
 """How much of what was known still counts.  Pure: times and records in, records out.
 
-Each kind of knowledge has a half-life of its own.  Its weight, between 0 and 1, halves with every half-life:
+Each kind of knowledge has a half-life of its own.  Its weight, between 0 and 1, halves with every
+half-life:
 
     rate, asked   are multiplied by it: less is promised;
     wait          too: an old wait is no reason to hold a call;
--- a/capershelf/memory/keeper.py
+++ b/capershelf/memory/keeper.py
@@ -1,7 +1,8 @@
 """A planner's side of the memory, on its thread: it never waits and does a bounded piece at a time.
 
-What was learned lies in a persistent map, so that handing it over costs one reference whatever its size: the
-writer reads the map as it was while the planner goes on making newer ones that share nearly all of it.
+What was learned lies in a persistent map, so that handing it over costs one reference whatever its size:
+the writer reads the map as it was while the planner goes on making newer ones that share nearly all of
+it.
 """
 
 from __future__ import annotations
@@ -21,7 +22,7 @@
 from capershelf.memory.trust import Verdict, judge_list
 
 SWEEP_MS = 100.0  # between two looks at what was learned,
-A_SWEEP = 32  # of no more servers than this: some 0.1 ms
+A_SWEEP = 16  # of no more servers than this: some 0.1 ms
 HAND_OVER_MS = 500.0  # between two hand-overs without a large change
 
 
--- a/capershelf/memory/memory.py
+++ b/capershelf/memory/memory.py
@@ -12,7 +12,8 @@
 from capershelf.core.clock import Clock
 from capershelf.memory.ageing import HalfLives
 from capershelf.memory.disk import BusyError, Folder
-from capershelf.memory.format import KEY_BYTES, NewerError
+from capershelf.memory.format import KEY_BYTES
+from capershelf.memory.generations import NewerError
 from capershelf.memory.keeper import Keeper, Terms
 from capershelf.memory.records import Book
 from capershelf.memory.store import Store
--- a/capershelf/memory/store.py
+++ b/capershelf/memory/store.py
@@ -1,23 +1,14 @@
-"""Two generations of one book in a folder; at every instant the newest whole one can be read.
-
-A write makes `memory.new`, syncs it, moves it into the place of the older generation and syncs the folder;
-the newer generation is not touched.  Reading takes the whole file with the greater generation number.  What
-can't be used is set aside under another name and never written over.
-"""
+"""The book of one proxy in its folder: the newest whole generation is read, the older one written over."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass
 
 from capershelf.memory.disk import Disk
-from capershelf.memory.format import (
-    FRAME_BYTES, MOST_BYTES, NewerError, RefusedError, SpoiltError, decode, encode,
-)
+from capershelf.memory.format import decode, encode
+from capershelf.memory.generations import Generations, NewerError, RefusedError, SpoiltError
 from capershelf.memory.records import Book
 
-NAMES = ("memory.0", "memory.1")
-NEW = "memory.new"
-
 
 @dataclass(frozen=True, slots=True)
 class Found:
@@ -30,20 +21,16 @@
 
 
 class Store:
-    """The book of one proxy; one thread at a time."""
+    """One thread at a time; with a proxy's name only its own book is taken."""
 
     def __init__(self, disk: Disk, proxy: str, key: bytes | None) -> None:
-        self._disk, self._proxy, self._key = disk, proxy, key
+        self._files, self._proxy, self._key = Generations(disk, "memory"), proxy, key
 
     def look(self) -> list[Found]:
         """Both generations as they are, newest first among the whole ones; nothing is changed."""
         found = []
-        names = set(self._disk.names())
-        for name in NAMES:
-            if name not in names:
-                continue
+        for name, data in self._files.read():
             try:
-                data = self._disk.read(name, MOST_BYTES + FRAME_BYTES)
                 book = decode(data, self._key)
                 if self._proxy and book.proxy != self._proxy:
                     raise RefusedError(f"it is the memory of {book.proxy!r}")
@@ -68,22 +55,12 @@
                 raise NewerError(f"{one.name}: {one.problem}")
         for one in found:
             if one.book is None:
-                said.append(f"{one.name}: {one.problem}; kept as {self._set_aside(one)}")
+                kept = self._files.set_aside(one.name, one.kind)
+                said.append(f"{one.name}: {one.problem}; kept as {kept}")
         return next((one.book for one in found if one.book is not None), None), said
 
     def save(self, book: Book) -> int:
         """Write it in place of the older generation; the bytes written.  OSError leaves both readable."""
         data = encode(book, self._key)
-        self._disk.write(NEW, data)
-        self._disk.sync(NEW)
-        self._disk.rename(NEW, NAMES[book.generation % len(NAMES)])
-        self._disk.sync_folder()
+        self._files.write(book.generation, data)
         return len(data)
-
-    def _set_aside(self, one: Found) -> str:
-        taken = set(self._disk.names())
-        number = next(n for n in range(len(taken) + 1) if f"{one.name}.{one.kind}-{n}" not in taken)
-        name = f"{one.name}.{one.kind}-{number}"
-        self._disk.rename(one.name, name)
-        self._disk.sync_folder()
-        return name
--- a/capershelf/memory/trust.py
+++ b/capershelf/memory/trust.py
@@ -12,6 +12,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass
 from enum import Enum
 
@@ -61,9 +62,11 @@
 
 def judge_list(records: dict[str, ServerRecord], news: News) -> list[Judged]:
     """All servers that the news names and a record knows."""
-    places = [located.endpoint for located in news.servers if located.listed.standing is Standing.ACTIVE]
+    places = Counter(
+        located.endpoint for located in news.servers if located.listed.standing is Standing.ACTIVE
+    )
     return [
-        Judged(record, judge(record, located, news.vouches, places.count(located.endpoint) > 1))
+        Judged(record, judge(record, located, news.vouches, places[located.endpoint] > 1))
         for located in news.servers
         if (record := records.get(located.listed.server)) is not None
     ]
--- a/lab/__main__.py
+++ b/lab/__main__.py
@@ -9,7 +9,7 @@
 import click
 from loguru import logger
 
-from lab import restart
+from lab import memory_cost, restart
 
 
 @click.group()
@@ -39,5 +39,18 @@
         click.echo(json.dumps(found))
 
 
+@main.command("memory-cost")
+@click.option("--servers", multiple=True, type=int, default=(10, 1000, 5000), show_default=True)
+@click.option("--json", "as_json", is_flag=True, help="The result as one JSON object on the last line.")
+def memory_cost_command(servers: tuple[int, ...], as_json: bool) -> None:
+    """What remembering costs a planner, the disk and a start."""
+    logger.remove()
+    rows = [memory_cost.cost(number) for number in servers]
+    for row in rows:
+        click.echo("  ".join(f"{name} {value:g}" for name, value in row.items()))
+    if as_json:
+        click.echo(json.dumps({"experiment": "memory-cost", "rows": rows}))
+
+
 if __name__ == "__main__":
     main(prog_name="python -m lab")
--- a/tests/test_memory_file.py
+++ b/tests/test_memory_file.py
@@ -15,8 +15,9 @@
 from hypothesis import settings as hypothesis_settings
 
 from capershelf.memory.disk import BusyError, Folder
-from capershelf.memory.format import FRAME_BYTES, HEAD, NewerError, RefusedError, SpoiltError, decode, encode
-from capershelf.memory.store import NEW, Store
+from capershelf.memory.format import decode, encode
+from capershelf.memory.generations import FRAME_BYTES, NewerError, RefusedError, SpoiltError, frame
+from capershelf.memory.store import Store
 from tests.memory_rig import CutError, KillingFolder, PowerSupply, book, record
 
 DATA = Path(__file__).parent / "data"
@@ -116,11 +117,8 @@
 @hypothesis_settings(derandomize=True, deadline=None, max_examples=300, database=None)
 @given(body=st.binary(max_size=200), number=st.integers(0, 5))
 def test_whatever_lies_under_a_good_digest_is_a_book_or_a_plain_no(body: bytes, number: int) -> None:
-    from capershelf.memory.format import _digest
-
-    head = HEAD.pack(b"CAPSHMEM", number, 0, len(body))
     with pytest.raises((SpoiltError, NewerError)):
-        decode(head + _digest(head, body, None) + body, None)
+        decode(frame(b"CAPSHMEM", number, body, None), None)
 
 
 def test_figures_that_can_not_be_are_refused() -> None:
@@ -170,13 +168,9 @@
 
 
 def test_a_newer_format_is_left_untouched(tmp_path: Path) -> None:
-    from capershelf.memory.format import _digest
-
     store = Store(Folder(tmp_path), "p1", None)
     store.save(book(4))
-    body = msgspec.msgpack.encode({"what": "later"})
-    head = HEAD.pack(b"CAPSHMEM", 2, 0, len(body))
-    newer = head + _digest(head, body, None) + body
+    newer = frame(b"CAPSHMEM", 2, msgspec.msgpack.encode({"what": "later"}), None)
     (tmp_path / "memory.1").write_bytes(newer)
     with pytest.raises(NewerError, match="format 2"):
         store.load()
@@ -195,7 +189,7 @@
     with pytest.raises(OSError, match="No space"):
         Store(Full(tmp_path), "p1", None).save(book(6))
     assert Store(Folder(tmp_path), "p1", None).load() == (book(5), [])
-    assert (tmp_path / NEW).exists()
+    assert (tmp_path / "memory.new").exists()
 
 
 def test_one_process_holds_a_folder(tmp_path: Path) -> None:
