--- a/capershelf/cli.py
+++ b/capershelf/cli.py
@@ -8,6 +8,7 @@
 import signal
 import sys
 from importlib import metadata
+from typing import TYPE_CHECKING
 
 import click
 from loguru import logger
@@ -16,7 +17,12 @@
 from capershelf.node import Node
 from capershelf.release import VERSION
 
-GROUPS = {"memory": "capershelf.commands.memory"}  # imported only when asked for: `serve` pays for none
+if TYPE_CHECKING:
+    from capershelf.stream.stream import Stream
+
+GROUPS = {  # imported only when asked for: `serve` pays for none
+    "memory": "capershelf.commands.memory", "control": "capershelf.commands.control",
+}
 
 
 class Commands(click.Group):
@@ -70,20 +76,36 @@
     for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
         signal.signal(number, lambda told, _: signals.put(told))
     try:
-        node = Node(configuration.load(os.environ, path))
+        config = configuration.load(os.environ, path)
+        stream = open_stream(config)
+        node = Node(stream.config if stream is not None else config)
     except (ValueError, OSError) as problem:
         raise click.ClickException(str(problem)) from problem
     node.start()
+    if stream is not None:
+        stream.start(node)
     while signals.get() == signal.SIGHUP:
-        reload(node, path)
+        reload(node, stream, path)
     logger.info("told to stop")
+    if stream is not None:
+        stream.end()
     node.stop()
 
 
-def reload(node: Node, path: str | None) -> None:
+def open_stream(config: configuration.Config) -> Stream | None:
+    """Streamed configuration, where an operator's file turns it on; nothing is imported for it else."""
+    if config.stream is None:
+        return None
+    from capershelf.stream.stream import Stream
+
+    return Stream(config, os.environ)
+
+
+def reload(node: Node, stream: Stream | None, path: str | None) -> None:
     """Guards service against the new file: whatever is wrong with it, the old one stays in force."""
     try:
-        node.reload(configuration.load(os.environ, path))
+        config = configuration.load(os.environ, path)
+        node.reload(config) if stream is None else stream.rebase(config)
     except Exception as problem:
         logger.error("the new configuration is not taken, the old one stays in force: {}", problem)
     else:
@@ -114,5 +136,6 @@
     click.echo(f"notice board: {found.board or 'off'}")
     click.echo(f"Eureka: {found.eureka.url if found.eureka else 'off'}")
     click.echo(f"memory: {found.memory.folder if found.memory else 'off'}")
+    click.echo(f"stream: {', '.join(found.stream.services) if found.stream else 'off'}")
     for name in found.unread:
         click.echo(f"note: {name!r} is not a setting of this program")
--- /dev/null
+++ b/capershelf/commands/control.py
@@ -0,0 +1,195 @@
+"""`capershelf control`: a control service of the project's own, and what goes with it.
+
+Exit codes: 0 good, 1 refused or not to be read, 2 usage.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import click
+from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
+from rich.console import Console
+from rich.table import Table
+
+from capershelf.core.clock import SystemClock
+from capershelf.net.tls import Identity
+from capershelf.stream import document as doc
+from capershelf.stream import standing
+from capershelf.stream.ledger import Number
+from capershelf.stream.protocol import Published
+from capershelf.stream.rollout import Plan
+from capershelf.stream.service import STATE, ControlService, End, read_version, versions_in
+from capershelf.stream.signing import read_private, sign
+
+FOLDER = click.argument("folder", type=click.Path(exists=True, file_okay=False, path_type=Path))
+
+
+@click.group(name="control")
+def group() -> None:
+    """Publish configuration to a fleet (docs/stream.md)."""
+
+
+@group.command()
+@FOLDER
+@click.option("--listen", default="127.0.0.1:7100", show_default=True)
+@click.option("--websocket", is_flag=True, help="Speak WebSocket instead of JSON lines.")
+@click.option("--stages", default="1", show_default=True, help="Shares of the fleet, such as 0.1,0.5,1.")
+@click.option("--watch", default=0.0, show_default=True, help="Seconds each stage is watched.")
+@click.option("--certificate", default="", help="TLS: this service's certificate,")
+@click.option("--key-file", default="", help="its key,")
+@click.option("--client-ca", default="", help="and the CA that proxies' certificates must come from.")
+def serve(
+    folder: Path, listen: str, websocket: bool, stages: str, watch: float, certificate: str, key_file: str,
+    client_ca: str,
+) -> None:
+    """Offer the versions in FOLDER until SIGTERM or SIGINT."""
+    from capershelf.cli import set_up_log
+
+    set_up_log("INFO")
+    try:
+        plan = Plan(tuple(float(one) for one in stages.split(",")), 1000.0 * watch)
+        identity = Identity(client_ca, certificate, key_file) if certificate else None
+        service = ControlService(folder, listen, SystemClock(), plan, websocket, identity)
+    except (ValueError, OSError) as problem:
+        raise click.ClickException(str(problem)) from problem
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, lambda *_: service.inbox.put(End()))
+    service.start()
+    click.echo(f"control service on {listen}, versions in {folder}")
+    service.run()
+
+
+@group.command()
+@click.argument("file", type=click.Path(exists=True, dir_okay=False, path_type=Path))
+def check(file: Path) -> None:
+    """Hold a version against the standing rules; the proxies hold it against their own contract too."""
+    read_checked(file)
+    click.echo("good")
+
+
+def read_checked(file: Path) -> dict[str, Any]:
+    try:
+        found = doc.read(file.read_bytes())
+    except (OSError, ValueError) as problem:
+        raise click.ClickException(f"{file}: {problem}") from problem
+    if offences := standing.check(found):
+        raise click.ClickException("\n".join(str(one) for one in offences))
+    return found
+
+
+@group.command()
+@FOLDER
+@click.argument("file", type=click.Path(exists=True, dir_okay=False, path_type=Path))
+@click.option("--epoch", type=click.IntRange(1), help="Begin this epoch, where numbers have to begin again.")
+@click.option("--sign-with", type=click.Path(dir_okay=False, path_type=Path), help="A private key file.")
+@click.option("--key-name", default="", help="The key's name, as proxies have it; the file's if left out.")
+@click.option("--valid", default=30.0, show_default=True, help="Days that the signature holds.")
+@click.option("--unchecked", is_flag=True, help="Publish what breaks a rule, to see it refused.")
+def push(
+    folder: Path, file: Path, epoch: int | None, sign_with: Path | None, key_name: str, valid: float,
+    unchecked: bool,
+) -> None:
+    """Publish FILE as the next version."""
+    found = doc.read(file.read_bytes()) if unchecked else read_checked(file)
+    last = max(versions_in(folder), default=Number(1, 0))
+    number = Number(last.epoch, last.version + 1)
+    if epoch is not None and epoch != last.epoch:
+        if epoch < last.epoch:
+            raise click.UsageError(f"epoch {epoch} is over, {last.epoch} is in force")
+        number = Number(epoch, 1)
+    if sign_with is not None:
+        sign_version(folder, Published.of(number, found), sign_with, key_name, valid)
+    put(folder / f"{number}.json", doc.canonical(found) + b"\n")
+    click.echo(f"version {number}")
+
+
+@group.command("sign")
+@FOLDER
+@click.argument("number")
+@click.option("--sign-with", required=True, type=click.Path(dir_okay=False, path_type=Path))
+@click.option("--key-name", default="", help="The key's name, as proxies have it; the file's if left out.")
+@click.option("--valid", default=30.0, show_default=True, help="Days that the signature holds.")
+def sign_command(folder: Path, number: str, sign_with: Path, key_name: str, valid: float) -> None:
+    """Sign version NUMBER (EPOCH.VERSION) once more; a service offers what it read at its start."""
+    try:
+        epoch, version = number.split(".")
+        published = read_version(folder, Number(int(epoch), int(version)))
+    except ValueError as problem:
+        raise click.ClickException(f"{number}: {problem}") from problem
+    sign_version(folder, published, sign_with, key_name, valid)
+    click.echo(f"version {number} is signed")
+
+
+def sign_version(folder: Path, published: Published, key: Path, key_name: str, valid_days: float) -> None:
+    try:
+        private = read_private(key)
+    except ValueError as problem:
+        raise click.ClickException(str(problem)) from problem
+    expires_ms = float(int(time.time() * 1000.0 + 86_400_000.0 * valid_days))
+    made = sign(private, key_name or key.stem, published.number, published.digest, expires_ms)
+    put(folder / f"{published.number}.sig", doc.canonical(
+        {"key": made.key, "expires": made.expires_ms, "signature": made.value}
+    ))
+
+
+def put(path: Path, data: bytes) -> None:
+    """Whole or not at all: the service may look at any time."""
+    new = path.with_suffix(".new")
+    try:
+        new.write_bytes(data)
+        os.replace(new, path)
+    except OSError as problem:
+        raise click.ClickException(str(problem)) from problem
+
+
+@group.command()
+@click.argument("folder", type=click.Path(file_okay=False, path_type=Path))
+@click.argument("name")
+def key(folder: Path, name: str) -> None:
+    """Make a key pair NAME.key and NAME.pub in FOLDER; proxies get the latter."""
+    private = Ed25519PrivateKey.generate()
+    secret, public = folder / f"{name}.key", folder / f"{name}.pub"
+    try:
+        folder.mkdir(parents=True, exist_ok=True)
+        with open(os.open(secret, os.O_WRONLY | os.O_CREAT | os.O_EXCL, 0o600), "w") as file:
+            file.write(private.private_bytes_raw().hex() + "\n")
+        public.write_text(private.public_key().public_bytes_raw().hex() + "\n")
+        public.chmod(0o644)
+    except OSError as problem:
+        raise click.ClickException(str(problem)) from problem
+    click.echo(f"{secret} signs, {public} is for the proxies")
+
+
+@group.command()
+@FOLDER
+@click.option("--json", "as_json", is_flag=True, help="One JSON object.")
+def status(folder: Path, as_json: bool) -> None:
+    """Which proxies have acknowledged or refused what, and how far the roll-out is."""
+    try:
+        found = doc.read((folder / STATE).read_bytes())
+    except FileNotFoundError:
+        found = {"proxies": {}, "rollout": None}
+    except (OSError, ValueError) as problem:
+        raise click.ClickException(str(problem)) from problem
+    if as_json:
+        click.echo(json.dumps(found))
+        return
+    rollout = found["rollout"]
+    newest = f"{rollout['epoch']}.{rollout['version']}" if rollout else "none"
+    table = Table(title=f"newest {newest}: {rollout['state'] if rollout else 'nothing is published'}",
+                  title_justify="left")
+    for column in ("proxy", "connected", "has", "last refusal", "notes"):
+        table.add_column(column, no_wrap=True)
+    for name, proxy in sorted(found["proxies"].items()):
+        bad = proxy.get("refuse") or proxy.get("back") or {}
+        said = f"{bad['version']} [{bad['code']}] {bad['path']} {bad['text']}" if bad else ""
+        table.add_row(name, "yes" if proxy.get("connected") else "no", proxy.get("has", ""), said,
+                      ", ".join(proxy.get("notes") or ()))
+    Console(width=None if sys.stdout.isatty() else 200, highlight=False).print(table)
--- a/capershelf/config.py
+++ b/capershelf/config.py
@@ -48,6 +48,22 @@
     asked_half_life_ms: float = 600_000.0
 
 
+@dataclass(frozen=True, slots=True)
+class StreamSettings:
+    """Streamed configuration (capershelf/stream/), off unless an operator's file turns it on."""
+
+    services: tuple[str, ...]  # in the order of preference: host:port, or ws://host:port
+    folder: str = ""  # where the last good version is kept; empty: nowhere
+    keys: str = ""  # folder of the public keys that are trusted; empty: unsigned versions are taken
+    ca: str = ""  # TLS, where it is set
+    certificate: str = ""
+    key_file: str = ""
+    strict: bool = False  # refuse what only a start can change, instead of noting it
+    probation_ms: float = 0.0
+    margin: float = 0.2
+    least: int = 50
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     """Everything that one signalling proxy is told."""
@@ -65,13 +81,15 @@
     websocket: WebSocketFront | None = None
     eureka: EurekaRegistry | None = None
     memory: MemorySettings | None = None
+    stream: StreamSettings | None = None
+    table: dict[str, Any] = field(default_factory=dict, compare=False)  # as it was read
     unread: tuple[str, ...] = field(default=())
 
 
 def load(environ: Mapping[str, str], operator_file: str | None = None) -> Config:
     """The configuration: NODE_CONFIG from the platform, then an operator's TOML over it.
 
-    ValueError says in one line what is missing or senseless.
+    ValueError says in one line what is missing or senseless, or which standing rules an operator breaks.
     """
     table: dict[str, Any] = {}
     if path := environ.get("NODE_CONFIG"):
@@ -81,7 +99,9 @@
             raise ValueError(f"NODE_CONFIG: {problem}") from problem
     if operator_file is not None:
         try:
-            table |= tomllib.loads(Path(operator_file).read_text())
+            own = tomllib.loads(Path(operator_file).read_text())
+            check_standing(own, table)
+            table |= own
         except OSError as problem:
             raise ValueError(f"operator file: {problem}") from problem
     if not table:
@@ -91,6 +111,16 @@
     return read(table, environ)
 
 
+def check_standing(own: dict[str, Any], platform: dict[str, Any]) -> None:
+    """An operator's own table must keep the standing rules; the platform's figures are the contract."""
+    from capershelf.stream import standing  # only where an operator's file is read
+
+    settings = platform.get("settings")
+    contract = settings.get("contract") if isinstance(settings, dict) else None
+    if offences := standing.check(own, contract):
+        raise ValueError("; ".join(map(str, offences)))
+
+
 def read(table: dict[str, Any], environ: Mapping[str, str]) -> Config:
     info = _need(table, "", "settings")
     planners = int(_number(table, "", "planners", 1.0))
@@ -113,7 +143,7 @@
     if eureka is not None and table.get("board"):
         raise ValueError("board and eureka are both set: one registry lists the booking servers")
     known = {"name", "listen", "seed", "limits", "board", "known", "settings", "planners", "websocket",
-             "eureka", "memory"}
+             "eureka", "memory", "stream"}
     return Config(
         name=str(table.get("name") or environ.get("NODE_NAME") or "capershelf"),
         listen=str(table.get("listen", environ.get("NODE_LISTEN", ""))),
@@ -128,6 +158,8 @@
         websocket=websocket,
         eureka=eureka,
         memory=memory,
+        stream=read_stream(table["stream"]) if "stream" in table else None,
+        table=table,
         unread=tuple(sorted(set(table) - known)),
     )
 
@@ -148,6 +180,26 @@
     return MemorySettings(folder, str(table.get("key-file", "")), **given)
 
 
+def read_stream(table: Any) -> StreamSettings:
+    """The [stream] table; ValueError names what is missing, unknown or senseless."""
+    services = _need(table, "stream.", "services")
+    if not isinstance(services, list) or not services or not all(isinstance(one, str) for one in services):
+        raise ValueError(f"settings: stream.services must be a list of addresses, not {services!r}")
+    texts = {name.replace("_", "-"): name for name in ("folder", "keys", "ca", "certificate", "key_file")}
+    if unknown := sorted(set(table) - set(texts) - {"services", "strict", "probation", "margin", "least"}):
+        raise ValueError(f"settings: stream.{unknown[0]} is not a setting")
+    given = {name: table.get(key, "") for key, name in texts.items()}
+    for key, name in texts.items():
+        if not isinstance(given[name], str):
+            raise ValueError(f"settings: stream.{key} must be a path, not {given[name]!r}")
+    return StreamSettings(
+        tuple(services), strict=bool(table.get("strict", False)),
+        probation_ms=_number(table, "stream.", "probation", 0.0),
+        margin=_number(table, "stream.", "margin", 0.2), least=int(_number(table, "stream.", "least", 50.0)),
+        **given,
+    )
+
+
 def _need(table: dict[str, Any], path: str, key: str) -> Any:
     if not isinstance(table, dict) or key not in table:
         raise ValueError(f"settings lack {path}{key}")
--- a/capershelf/control.py
+++ b/capershelf/control.py
@@ -14,8 +14,8 @@
 
 from capershelf.interface import (
     Action, AttemptOver, CallClass, CallerGone, Cancel, Event, Fail, LearnedServer, ListedServer, Log,
-    NewCall, Probe, Recalled, Refuse, Report, Result, Send, ServerList, ServerReport, SetTimer, Settings,
-    Standing, Stands, TimerFired, WayMended, Why,
+    NewCall, NewSettings, Probe, Recalled, Refuse, Report, Result, Send, ServerList, ServerReport, SetTimer,
+    Settings, Standing, Stands, TimerFired, WayMended, Why,
 )
 
 # The detector, as the paper and the design page have it.
@@ -88,10 +88,7 @@
                  "give_up_ms", "timeout_ms", "errors")
 
     def __init__(self, event: NewCall, kind: CallClass, now_ms: float) -> None:
-        self.id = event.call
-        self.number = event.number
-        self.kind = kind
-        self.far_end = event.far_end
+        self.id, self.number, self.far_end, self.kind = event.call, event.number, event.far_end, kind
         self.weight = float(max(1, event.width))
         self.expires_ms = event.expires_ms
         self.arrived_ms = now_ms
@@ -100,11 +97,8 @@
         self.attempts = self.fulls = self.errors = 0
         self.tried: set[str] = set()
         self.server: str | None = None
-        self.sent_ms = 0.0
-        self.ready_ms = now_ms
-        self.cancelled = False
-        self.give_up_ms = math.inf
-        self.timeout_ms = math.inf  # of its last attempt
+        self.sent_ms, self.ready_ms, self.cancelled = 0.0, now_ms, False
+        self.give_up_ms = self.timeout_ms = math.inf  # the latter of its last attempt
 
 
 class Rate:
@@ -228,30 +222,19 @@
     """Decides for one gateway: handle() takes an event and gives the actions it calls for."""
 
     def __init__(self, settings: Settings, seed: int) -> None:
-        check(settings)
-        self.settings = settings
         self.random = random.Random(seed)
-        self.classes = {kind.name: kind for kind in settings.classes}
-        self.least_worth = min(kind.worth for kind in settings.classes)
-        least_aim_ms = min(kind.aim_ms for kind in settings.classes)
-        resend_ms = settings.resend_ms if settings.resend_ms > 0 else math.inf
-        self.limit_ms = WAIT_SHARE * min(least_aim_ms, 1.5 * resend_ms)
-        # Times that belong to the aims are written for one limit, and go with that of the settings.
-        self.scale = self.limit_ms / WRITTEN_FOR_MS
-        self.pace_ms, self.trial_ms = self.scale * PACE_MS, self.scale * TRIAL_MS
         self.gates: dict[str, Gate] = {}
+        self.rates: dict[str, float] = {}
+        self.buckets: dict[str, float] = {}
+        self.adopt(settings)
         self.version = -1
         self.calls: dict[int, Call] = {}
         self.held: dict[int, Call] = {}
         self.first_asked: dict[str, float] = {}
         self.busy_until: dict[str, float] = {}
         self.most_numbers = NUMBERS  # in first_asked, before the old ones are looked for
-        self.quotas = {tenant.name: tenant.quota_per_s for tenant in settings.tenants}
-        self.rates = dict.fromkeys(self.quotas, 0.0)
-        self.buckets = dict.fromkeys(self.quotas, 3.0)
         self.rated_ms = 0.0
-        self.now_ms = -math.inf
-        self.judge_at_ms = -math.inf
+        self.now_ms = self.judge_at_ms = -math.inf
         self.timer_ms = math.inf  # when the earliest timer asked for is due
         self.woke_ms = -math.inf  # when this gateway last found that it had stood still
         self.asked, self.answered = Rate(), Rate()  # first tries, and calls that stand
@@ -262,6 +245,23 @@
         self.most_lines = 0.0  # of all active servers together, at most
         self.actions: list[Action] = []
 
+    def adopt(self, settings: Settings) -> None:
+        """Go by these settings from here on; what was learned stays, and calls keep the class they have."""
+        check(settings)
+        self.settings = settings
+        self.classes = {kind.name: kind for kind in settings.classes}
+        self.least_worth = min(kind.worth for kind in settings.classes)
+        resend_ms = settings.resend_ms if settings.resend_ms > 0 else math.inf
+        self.limit_ms = WAIT_SHARE * min(1.5 * resend_ms, *(kind.aim_ms for kind in settings.classes))
+        # Times that belong to the aims are written for one limit, and go with that of the settings.
+        self.scale = self.limit_ms / WRITTEN_FOR_MS
+        self.pace_ms, self.trial_ms = self.scale * PACE_MS, self.scale * TRIAL_MS
+        for gate in self.gates.values():
+            gate.overtaken_ms = OVERTAKEN * self.limit_ms
+        self.quotas = {tenant.name: tenant.quota_per_s for tenant in settings.tenants}
+        self.rates = {name: self.rates.get(name, 0.0) for name in self.quotas}
+        self.buckets = {name: self.buckets.get(name, 3.0) for name in self.quotas}
+
     def handle(self, now_ms: float, event: Event) -> list[Action]:
         """Take one event; the host carries the actions out in their order."""
         if not now_ms >= self.now_ms:
@@ -291,6 +291,8 @@
             case Recalled():
                 self.recalled = {known.server: known for known in event.servers}
                 self.asked_before, self.recalled_ms = event.asked_per_s / 1000.0, now_ms
+            case NewSettings():
+                self.adopt(event.settings)
             case TimerFired():
                 if now_ms >= self.timer_ms - 1.0:
                     self.timer_ms = math.inf
@@ -583,9 +585,8 @@
     def due(self, gate: Gate) -> bool:
         """Whether this flagged or silent server, with nothing outstanding, may be tried with one call now.
 
-        The design sends one at once; with many senders these keep a slow server full.  So each leaves it
-        alone for some of its own usual gaps, the more the longer the wait it saw last: together they send a
-        share of the server's usual load, however many they are.
+        The design sends one at once; with many senders these keep a slow server full.  So each leaves it for
+        some of its own usual gaps, the more the longer the wait it saw: together a share of its usual load.
         """
         if gate.standing is not Standing.ACTIVE or gate.out or not (gate.flagged or gate.silent):
             return False
--- a/capershelf/core/model.py
+++ b/capershelf/core/model.py
@@ -11,7 +11,7 @@
 from enum import Enum
 from typing import Protocol
 
-from capershelf.interface import LearnedServer, ListedServer, Recalled, Report, Result, Why
+from capershelf.interface import LearnedServer, ListedServer, Recalled, Report, Result, Settings, Why
 
 NORMAL = 16  # causes that core and fronts agree on, with the numbers that the field gives them
 FULL = 34
@@ -290,6 +290,22 @@
     by_ms: float
 
 
+@dataclass(frozen=True, slots=True)
+class TakeOver:
+    """Go by these settings from here on; done is called once they are in force."""
+
+    settings: Settings
+    connect_ms: float
+    done: Callable[[], None]
+
+
+@dataclass(frozen=True, slots=True)
+class AskOpen:
+    """Calls back with the names of the classes that have open calls."""
+
+    back: Callable[[set[str]], None]
+
+
 @dataclass(frozen=True, slots=True)
 class Reached:
     """Calls back once all that was put in before it has been dealt with."""
@@ -299,5 +315,6 @@
 
 Event = (
     SetUpCame | CallerReleased | CallerCame | CallerLost | CallerBarred
-    | ServerAnswered | ServerReleased | ServerTold | LinkUp | LinkDown | News | Stop | Reached
+    | ServerAnswered | ServerReleased | ServerTold | LinkUp | LinkDown | News | Stop
+    | TakeOver | AskOpen | Reached
 )
--- a/capershelf/core/planner.py
+++ b/capershelf/core/planner.py
@@ -70,6 +70,7 @@
         self._stop: m.Stop | None = None
         self._now_ms = 0.0
         self.open_calls = 0
+        self.given, self.refused = 0, 0  # outcomes, and those among them that were no
 
     # -- the loop -------------------------------------------------------------------------------------
     def run(self) -> None:
@@ -132,6 +133,10 @@
                 self._link_down(event)
             case m.News():
                 self._news(event)
+            case m.TakeOver():
+                self._take_over(event)
+            case m.AskOpen(back):
+                back({call.request.call_class for call in self._calls.values() if call.state is m.State.OPEN})
             case m.Reached(back):
                 back()
             case m.Stop():
@@ -241,6 +246,7 @@
             return False
         call.state = m.State.OVER
         self.open_calls -= 1
+        self.given += 1
         return True
 
     def _say(self, call: m.Call, word: m.Word) -> bool:
@@ -256,6 +262,7 @@
         """A final answer goes out at once; for a caller out of reach it is kept until its time is over."""
         if not self._latch(call):
             return
+        self.refused += 1
         self._forget(call)
         if not self._say(call, word):
             call.unheard = word
@@ -454,6 +461,13 @@
         if self.memory is not None:
             self.memory.sweep(self._controller, self.clock.now_ms(), everything=True)
 
+    def _take_over(self, event: m.TakeOver) -> None:
+        """New settings, between two events: no call sees half of them."""
+        self._settings, self._connect_ms = event.settings, event.connect_ms
+        self._classes = {kind.name: kind for kind in event.settings.classes}
+        self._feed(api.NewSettings(event.settings))
+        event.done()
+
     # -- the module -----------------------------------------------------------------------------------
     def _feed(self, event: api.Event) -> None:
         """Hand the module an event and carry its actions out; what those bring about comes after."""
--- a/capershelf/interface.py
+++ b/capershelf/interface.py
@@ -221,6 +221,13 @@
     server: str
 
 
+@dataclass(frozen=True, slots=True)
+class NewSettings:
+    """Settings that hold from here on; gateway_no and gateway_count are as they were."""
+
+    settings: Settings
+
+
 @dataclass(frozen=True, slots=True)
 class TimerFired:
     """A timer that the controller asked for."""
@@ -230,7 +237,7 @@
 
 Event = (
     NewCall | Stands | AttemptOver | CallerGone | ServerList | ServerReport | WayMended | Recalled
-    | TimerFired
+    | NewSettings | TimerFired
 )
 
 
--- a/capershelf/net/framing.py
+++ b/capershelf/net/framing.py
@@ -26,7 +26,9 @@
 class Framing(Protocol):
     """One connection's framing: fill space(), then take what filled() finds."""
 
-    opened: bool  # whether messages may be sent yet
+    @property
+    def opened(self) -> bool:
+        """Whether messages may be sent yet."""
 
     @property
     def half(self) -> bool:
--- a/capershelf/node.py
+++ b/capershelf/node.py
@@ -78,6 +78,7 @@
         self.config = config
         self.clock = clock or SystemClock()
         self._stopping = threading.Event()
+        self._reloading = threading.Lock()  # SIGHUP and the stream may come at once
         count = config.planners
         self.planners = [
             Planner(
@@ -158,8 +159,35 @@
             front.start()
         logger.info("{} serves on {}", self.config.name, self.config.listen or "no JSON-lines front")
 
+    def adopt(self, config: Config, done: Callable[[], None]) -> bool:
+        """Take a streamed version over; done is called once by each planner.  False: this proxy stops."""
+        if self._stopping.is_set():
+            return False
+        for house in self.houses:
+            house.terms = Terms.of(config.settings)
+        for number, planner in enumerate(self.planners):
+            settings = planner_settings(config.settings, number, len(self.planners))
+            planner.inbox.put(m.TakeOver(settings, config.connect_ms, done))
+        self.config = dataclasses.replace(
+            self.config, settings=config.settings, connect_ms=config.connect_ms, table=config.table
+        )
+        self.reload(config)
+        return True
+
+    def ask_open(self, back: Callable[[set[str]], None]) -> int:
+        """Have each planner call back with the classes that have open calls; how many planners there are."""
+        return self._every(m.AskOpen(back))
+
+    def outcomes(self) -> tuple[int, int]:
+        """(given, refused or failed) since the start."""
+        return sum(one.given for one in self.planners), sum(one.refused for one in self.planners)
+
     def reload(self, config: Config) -> None:
         """Take over what a running proxy can: the registry's address, or a list in the file itself."""
+        with self._reloading:
+            self._reload(config)
+
+    def _reload(self, config: Config) -> None:
         old, new = self.config, config
         address = new.eureka.url if new.eureka is not None else new.board
         was = old.eureka.url if old.eureka is not None else old.board
@@ -171,14 +199,15 @@
         elif same_kind and not self.sources and new.known != old.known:
             for news in read_notices(new.known, -1)[1]:
                 self._news(news)
-        names = {field.name for field in dataclasses.fields(Config)} - {"board", "known", "seed", "eureka"}
+        names = {field.name for field in dataclasses.fields(Config)}
+        names -= {"board", "known", "seed", "eureka", "table"}
         changed = [name for name in sorted(names) if getattr(old, name) != getattr(new, name)]
         if not same_kind:
             changed.append("kind of registry")
         for name in changed:
             logger.warning("the new {} holds from the next start on", name)
         self.config = dataclasses.replace(
-            old, board=new.board, known=new.known, eureka=new.eureka
+            old, board=new.board, known=new.known, eureka=new.eureka, table=new.table
         ) if same_kind else old
 
     def stop(self) -> None:
--- /dev/null
+++ b/capershelf/stream/keep.py
@@ -0,0 +1,71 @@
+"""The last good version in a folder, in two generations (capershelf/memory/generations.py)."""
+
+from __future__ import annotations
+
+import msgspec
+
+from capershelf.memory.disk import Disk
+from capershelf.memory.generations import Generations, NewerError, RefusedError, SpoiltError, frame, unframe
+from capershelf.stream import document as doc
+from capershelf.stream.ledger import Number
+
+MAGIC = b"CAPSHCFG"
+FORMAT = 1
+
+
+class Kept(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """A version that was in force, as canonical JSON."""
+
+    proxy: str
+    generation: int
+    epoch: int
+    version: int
+    digest: str
+    saved_ms: float
+    document: bytes
+
+    @property
+    def number(self) -> Number:
+        return Number(self.epoch, self.version)
+
+
+class Keep:
+    """One thread at a time."""
+
+    def __init__(self, disk: Disk, proxy: str) -> None:
+        self._files, self._proxy = Generations(disk, "version"), proxy
+        self._generation = 0
+
+    def load(self) -> tuple[Kept | None, list[str]]:
+        """The newest whole one, a line for each file set aside; NewerError where a later release wrote."""
+        found, said = [], []
+        for name, data in list(self._files.read()):
+            try:
+                found.append(self._read(data))
+            except NewerError as problem:
+                raise NewerError(f"{name}: {problem}") from problem
+            except (SpoiltError, RefusedError) as problem:
+                kind = "refused" if isinstance(problem, RefusedError) else "spoilt"
+                said.append(f"{name}: {problem}; kept as {self._files.set_aside(name, kind)}")
+        newest = max(found, key=lambda kept: kept.generation, default=None)
+        self._generation = newest.generation if newest is not None else 0
+        return newest, said
+
+    def _read(self, data: bytes) -> Kept:
+        _, body = unframe(MAGIC, FORMAT, data, None)
+        try:
+            kept = msgspec.msgpack.decode(body, type=Kept)
+        except msgspec.DecodeError as problem:
+            raise SpoiltError(f"the body can't be read: {problem}") from problem
+        if kept.proxy != self._proxy:
+            raise RefusedError(f"it is the configuration of {kept.proxy!r}")
+        if doc.digest(kept.document) != kept.digest:
+            raise SpoiltError("its document is not of its digest")
+        return kept
+
+    def save(self, number: Number, digest: str, document: bytes, now_ms: float) -> None:
+        """OSError leaves the one before."""
+        kept = Kept(proxy=self._proxy, generation=self._generation + 1, epoch=number.epoch,
+                    version=number.version, digest=digest, saved_ms=now_ms, document=document)
+        self._files.write(kept.generation, frame(MAGIC, FORMAT, msgspec.msgpack.encode(kept), None))
+        self._generation = kept.generation
--- /dev/null
+++ b/capershelf/stream/service.py
@@ -0,0 +1,316 @@
+"""A control service: versions as files in a folder, offered to proxies by stages.  A stand-in, and a
+tool.
+
+One thread owns all that is known; connections reach it by its inbox.  In the folder lie
+`EPOCH.VERSION.json`, each with `EPOCH.VERSION.sig` where it is signed, and `state.json`, which says what
+each proxy has made of them.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import re
+import socket
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from loguru import logger
+
+from capershelf.core.clock import Clock, Inbox
+from capershelf.memory.disk import Folder
+from capershelf.net.connection import Connection, parse_endpoint, spawn
+from capershelf.net.framing import Framing, Lines
+from capershelf.net.tls import Identity, Tls
+from capershelf.net.websocket import WebSocket
+from capershelf.stream import document as doc
+from capershelf.stream import protocol
+from capershelf.stream.ledger import Number
+from capershelf.stream.rollout import Plan, Rollout
+from capershelf.stream.signing import Signature
+
+SCAN_MS = 200.0
+SILENT_MS = 4.0 * protocol.BEAT_MS
+HANDSHAKE_MS = 3000.0
+NAME = re.compile(r"(\d{1,15})\.(\d{1,15})\.json")
+STATE, STATE_NEW = "state.json", "state.new"
+
+
+def versions_in(folder: Path) -> list[Number]:
+    """The numbers of all versions there, in their order."""
+    found = (NAME.fullmatch(path.name) for path in folder.iterdir())
+    return sorted(Number(int(match[1]), int(match[2])) for match in found if match)
+
+
+def read_version(folder: Path, number: Number) -> protocol.Published:
+    """A version with its signature; ValueError where one of its files can't be read."""
+    try:
+        found = doc.read((folder / f"{number}.json").read_bytes())
+        signature = Signature()
+        if (path := folder / f"{number}.sig").exists():
+            told = doc.read(path.read_bytes())
+            signature = Signature(str(told["key"]), float(told["expires"]), str(told["signature"]))
+    except (OSError, KeyError, TypeError) as problem:
+        raise ValueError(f"{number}: {problem!r}") from problem
+    return protocol.Published.of(number, found, signature)
+
+
+@dataclass(frozen=True, slots=True)
+class Came:
+    sock: socket.socket
+    name: str
+
+
+@dataclass(frozen=True, slots=True)
+class Line:
+    peer: int
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Gone:
+    peer: int
+
+
+@dataclass(frozen=True, slots=True)
+class End:
+    """Stop serving."""
+
+
+@dataclass(slots=True)
+class Peer:
+    """A proxy's connection."""
+
+    connection: Connection
+    end: protocol.ServiceEnd
+    heard_ms: float
+    offered: str = ""  # digest
+
+
+@dataclass(slots=True)
+class Fleet:
+    """What is known of each proxy; it outlives their connections and, in state.json, this process."""
+
+    proxies: dict[str, dict[str, Any]] = field(default_factory=dict)
+
+    def note(self, proxy: str, now_ms: float, **what: Any) -> None:
+        self.proxies.setdefault(proxy, {}).update(what, at_ms=now_ms)
+
+
+class ControlService:
+    """Serves a folder until told to end."""
+
+    def __init__(
+        self, folder: Path, listen: str, clock: Clock, plan: Plan, websocket: bool = False,
+        identity: Identity | None = None,
+    ) -> None:
+        self.inbox: Inbox[Came | Line | Gone | End] = Inbox(clock)
+        self._folder, self._disk, self._clock, self._plan = folder, Folder(folder), clock, plan
+        self._websocket, self._identity = websocket, identity
+        if identity is not None:
+            identity.context(server=True)  # a file that can't be used is named before the first proxy comes
+        self._sock = socket.create_server(parse_endpoint(listen), backlog=512)
+        self.port: int = self._sock.getsockname()[1]
+        self._shelf = protocol.Shelf()
+        self._peers: dict[int, Peer] = {}
+        self._count = 0
+        self.fleet = Fleet()
+        self._rollout: Rollout | None = None
+        self._newest: protocol.Published | None = None
+        self._before: protocol.Published | None = None
+        self._unreadable: set[Number] = set()
+        self._scan_ms = 0.0
+        self._state = ""
+        self._read_state()
+
+    # -- threads --------------------------------------------------------------------------------------
+    def start(self) -> None:
+        spawn(self._accept)
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                sock, address = self._sock.accept()
+            except OSError:
+                return
+            self.inbox.put(Came(sock, f"proxy {address[0]}:{address[1]}"))
+
+    def run(self) -> None:
+        """The owner's loop."""
+        while True:
+            event = self.inbox.take(self._scan_ms)
+            if isinstance(event, End):
+                break
+            try:
+                self._take(event)
+            except Exception:  # one proxy must not end the service for all
+                logger.exception("control: a fault")
+        with contextlib.suppress(OSError):
+            self._sock.shutdown(socket.SHUT_RDWR)
+        self._sock.close()
+        for peer in self._peers.values():
+            peer.connection.close()
+
+    def _take(self, event: Came | Line | Gone | None) -> None:
+        match event:
+            case Came(sock, name):
+                self._admit(sock, name)
+            case Line(number, data):
+                if (peer := self._peers.get(number)) is not None:
+                    self._line(peer, data)
+            case Gone(number):
+                if (peer := self._peers.pop(number, None)) is not None and peer.end.proxy:
+                    connected = any(one.end.proxy == peer.end.proxy for one in self._peers.values())
+                    self.fleet.note(peer.end.proxy, self._clock.now_ms(), connected=connected)
+        now_ms = self._clock.now_ms()
+        if now_ms >= self._scan_ms:
+            self._scan_ms = now_ms + SCAN_MS
+            self._scan()
+            self._advance(now_ms)
+            for peer in list(self._peers.values()):
+                if now_ms - peer.heard_ms >= protocol.BEAT_MS / 2:
+                    peer.heard_ms = now_ms
+                    peer.connection.post(protocol.encode({"type": "beat"}))
+        self._write_state()
+
+    def _admit(self, sock: socket.socket, name: str) -> None:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        framing: Framing = WebSocket() if self._websocket else Lines()
+        if self._identity is not None:
+            try:
+                framing = Tls(framing, self._identity.context(server=True), True)
+            except ValueError as problem:
+                logger.warning("control: {}", problem)
+                sock.close()
+                return
+        self._count += 1
+        number, heard = self._count, [self._clock.now_ms()]
+
+        def message(data: bytes) -> None:
+            heard[0] = self._clock.now_ms()
+            self.inbox.put(Line(number, data))
+
+        connection = Connection(
+            sock, framing, message, lambda: self.inbox.put(Gone(number)), name, self._clock,
+            heard[0] + HANDSHAKE_MS, due=lambda half_ms: heard[0] + SILENT_MS,
+        )
+        self._peers[number] = Peer(connection, protocol.ServiceEnd(self._shelf), heard[0])
+        connection.start()
+
+    def _line(self, peer: Peer, data: bytes) -> None:
+        try:
+            steps = peer.end.receive(protocol.decode(data))
+        except protocol.NonsenseError as problem:
+            steps = [protocol.Hang(str(problem))]
+        self._carry_out(peer, steps)
+
+    def _carry_out(self, peer: Peer, steps: list[protocol.Step]) -> None:
+        for step in steps:
+            match step:
+                case protocol.Say(message):
+                    peer.connection.post(protocol.encode(message))
+                case protocol.Hang(reason):
+                    logger.warning("control: {} hung up on: {}", peer.end.proxy or "a proxy", reason)
+                    peer.connection.close()
+                case protocol.Told():
+                    self._told(peer, step)
+
+    # -- versions -------------------------------------------------------------------------------------
+    def _scan(self) -> None:
+        for number in versions_in(self._folder):
+            newest = self._newest.number if self._newest is not None else Number(0, 0)
+            if number <= newest or number in self._unreadable:
+                continue
+            try:
+                found = read_version(self._folder, number)
+            except ValueError as problem:
+                self._unreadable.add(number)
+                logger.error("control: {}", problem)
+                continue
+            self._shelf.add(found)
+            self._before, self._newest = self._newest, found
+            known = self._rollout
+            if known is None or known.number != number:
+                self._rollout = Rollout(number, self._plan)
+            logger.info("control: version {} goes out, {} bytes", number, len(found.data))
+
+    def _advance(self, now_ms: float) -> None:
+        if self._rollout is None or self._newest is None:
+            return
+        connected = {peer.end.proxy for peer in self._peers.values() if peer.end.proxy}
+        while self._rollout.advance(set(self.fleet.proxies), connected, now_ms):
+            logger.info("control: version {}: {}", self._rollout.number, self._rollout.state)
+        for peer in self._peers.values():
+            if peer.end.proxy:
+                self._offer(peer)
+
+    def _offer(self, peer: Peer) -> None:
+        """What this proxy is to have now: the newest where its stage has come, else the one before."""
+        if self._rollout is None or self._newest is None:
+            return
+        due = self._rollout.due(peer.end.proxy, set(self.fleet.proxies))
+        target = self._newest if due else self._before
+        if target is None or target.digest in (peer.end.digest, peer.offered):
+            return
+        if peer.end.good is not None and target.number < peer.end.good:
+            return  # it has had the newer one already
+        peer.offered = target.digest
+        self._carry_out(peer, peer.end.offer(target))
+
+    def _told(self, peer: Peer, told: protocol.Told) -> None:
+        now_ms = self._clock.now_ms()
+        number = str(told.number) if told.number is not None else ""
+        newest = self._rollout is not None and told.number == self._rollout.number
+        if told.kind == "hello":
+            self.fleet.note(told.proxy, now_ms, connected=True, has=number)
+            if newest and self._rollout is not None:
+                self._rollout.ack(told.proxy, now_ms)
+            self._offer(peer)
+        elif told.kind == "ack":
+            self.fleet.note(told.proxy, now_ms, has=number, notes=list(told.notes))
+            if newest and self._rollout is not None:
+                self._rollout.ack(told.proxy, now_ms)
+        else:
+            self.fleet.note(told.proxy, now_ms, **{told.kind: {
+                "version": number, "code": told.code or "put-back", "path": told.path, "text": told.text,
+            }})
+            logger.warning("control: {} says {} of {}: {} {}", told.proxy, told.kind, number, told.path,
+                           told.text)
+            if newest and self._rollout is not None:
+                self._rollout.refuse(told.proxy, told.code or "put-back", told.text)
+
+    # -- state ----------------------------------------------------------------------------------------
+    def _read_state(self) -> None:
+        try:
+            found = doc.read((self._folder / STATE).read_bytes())
+            self.fleet.proxies = {str(k): dict(v) | {"connected": False} for k, v in found["proxies"].items()}
+            if (told := found.get("rollout")) is not None:
+                number = Number(int(told["epoch"]), int(told["version"]))
+                acked = {str(k): float(v) for k, v in told["acked"].items()}
+                stage = min(int(told["stage"]), len(self._plan.stages) - 1)
+                self._rollout = Rollout(number, self._plan, stage, str(told["halted"]), acked)
+        except FileNotFoundError:
+            pass
+        except (OSError, ValueError, KeyError, TypeError, AttributeError) as problem:
+            logger.warning("control: {} can't be read, the fleet is learned anew: {!r}", STATE, problem)
+
+    def _write_state(self) -> None:
+        rollout = self._rollout
+        text = json.dumps({
+            "proxies": self.fleet.proxies,
+            "rollout": None if rollout is None else {
+                "epoch": rollout.number.epoch, "version": rollout.number.version, "stage": rollout.stage,
+                "halted": rollout.halted, "acked": rollout.acked, "state": rollout.state,
+            },
+        }, sort_keys=True, indent=1)
+        if text == self._state:
+            return
+        try:
+            self._disk.write(STATE_NEW, text.encode())
+            self._disk.sync(STATE_NEW)
+            self._disk.rename(STATE_NEW, STATE)
+        except OSError as problem:
+            logger.warning("control: {} not written: {}", STATE, problem)
+            return
+        self._state = text
--- /dev/null
+++ b/capershelf/stream/signing.py
@@ -0,0 +1,118 @@
+"""Who may publish: Ed25519 signatures under several keys, with expiry and revocation.  Pure but for
+reading keys.
+
+What is signed is a statement of a version's epoch, number, digest and expiry, so that neither another
+text nor another number, nor the same version after its time, passes for it.
+"""
+
+from __future__ import annotations
+
+import stat
+from dataclasses import dataclass
+from pathlib import Path
+
+from cryptography.exceptions import InvalidSignature
+from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey, Ed25519PublicKey
+
+from capershelf.stream.ledger import Number
+
+TAG = "capershelf-version-1"
+KEY_BYTES = 32
+
+
+@dataclass(frozen=True, slots=True)
+class Signature:
+    """What comes with a version; all empty where it is unsigned."""
+
+    key: str = ""
+    expires_ms: float = 0.0
+    value: str = ""  # hex
+
+
+@dataclass(frozen=True, slots=True)
+class Key:
+    """A public key in force, until then (0: without end)."""
+
+    name: str
+    public: Ed25519PublicKey
+    until_ms: float = 0.0
+    revoked: bool = False
+
+
+def statement(number: Number, digest: str, expires_ms: float) -> bytes:
+    """The bytes that are signed."""
+    return f"{TAG}\n{number.epoch}\n{number.version}\n{digest}\n{expires_ms:.0f}\n".encode()
+
+
+def sign(private: Ed25519PrivateKey, name: str, number: Number, digest: str, expires_ms: float) -> Signature:
+    return Signature(name, expires_ms, private.sign(statement(number, digest, expires_ms)).hex())
+
+
+class KeyRing:
+    """The keys that an operator trusts."""
+
+    def __init__(self, keys: tuple[Key, ...]) -> None:
+        self._keys = {key.name: key for key in keys}
+
+    def fault(self, number: Number, digest: str, signature: Signature, now_ms: float) -> tuple[str, str]:
+        """A code and a text for what is wrong with the signature; empty: nothing."""
+        if not signature.value:
+            return "unsigned", f"{number} has no signature"
+        key = self._keys.get(signature.key)
+        if key is None:
+            return "unknown-key", f"{number} is signed with {signature.key!r}, which is not trusted here"
+        if key.revoked:
+            return "revoked-key", f"{number} is signed with {signature.key!r}, which is revoked"
+        if key.until_ms and now_ms > key.until_ms:
+            return "expired-key", f"{number} is signed with {signature.key!r}, whose time is over"
+        if now_ms > signature.expires_ms:
+            return "expired", f"the time of {number} is over"
+        try:
+            value = bytes.fromhex(signature.value)
+            key.public.verify(value, statement(number, digest, signature.expires_ms))
+        except (ValueError, InvalidSignature):
+            return "bad-signature", f"the signature of {number} is not that of {signature.key!r}"
+        return "", ""
+
+
+def read_private(path: Path) -> Ed25519PrivateKey:
+    """A key to sign with: 64 hex digits in a file that only its owner may read; ValueError else."""
+    try:
+        mode, text = path.stat().st_mode, path.read_text()
+    except (OSError, UnicodeDecodeError) as problem:
+        raise ValueError(f"{path}: {problem}") from problem
+    if mode & (stat.S_IRWXG | stat.S_IRWXO):
+        raise ValueError(f"{path} is open to others (mode {mode & 0o777:03o}, 600 wanted)")
+    return Ed25519PrivateKey.from_private_bytes(_hex_key(path, text))
+
+
+def read_ring(folder: Path) -> KeyRing:
+    """All NAME.pub in a folder: 64 hex digits, then `until MS` or `revoked` on lines of their own."""
+    keys = []
+    try:
+        files = sorted(folder.glob("*.pub"))
+        if not files:
+            raise ValueError(f"{folder}: no NAME.pub lies there")
+        for path in files:
+            if path.stat().st_mode & (stat.S_IWGRP | stat.S_IWOTH):
+                raise ValueError(f"{path} may be written by others")
+            first, *more = path.read_text().split("\n")
+            words = [line.split() for line in more if line.strip()]
+            until = [float(word[1]) for word in words if word[0] == "until" and len(word) == 2]
+            if any(word[0] not in ("until", "revoked") for word in words):
+                raise ValueError(f"{path}: a line that is neither `until MS` nor `revoked`")
+            public = Ed25519PublicKey.from_public_bytes(_hex_key(path, first))
+            keys.append(Key(path.stem, public, until[0] if until else 0.0, ["revoked"] in words))
+    except (OSError, UnicodeDecodeError) as problem:
+        raise ValueError(f"{folder}: {problem}") from problem
+    return KeyRing(tuple(keys))
+
+
+def _hex_key(path: Path, text: str) -> bytes:
+    try:
+        key = bytes.fromhex(text.strip())
+    except ValueError:
+        key = b""
+    if len(key) != KEY_BYTES:
+        raise ValueError(f"{path} must hold {2 * KEY_BYTES} hex digits")
+    return key
--- /dev/null
+++ b/tests/test_stream_running.py
@@ -0,0 +1,475 @@
+"""Streamed configuration on loopback: a service, proxies under load, TLS, the last good version's file."""
+
+from __future__ import annotations
+
+import datetime
+import ipaddress
+import json
+import queue
+import socket
+import threading
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any
+
+import pytest
+from click.testing import CliRunner
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes, serialization
+from cryptography.hazmat.primitives.asymmetric import ec
+from loguru import logger
+
+from capershelf import config as configuration
+from capershelf.cli import main
+from capershelf.core.clock import SystemClock
+from capershelf.memory.disk import Folder
+from capershelf.net.connection import Connection
+from capershelf.net.framing import Lines
+from capershelf.net.tls import Identity
+from capershelf.node import Node
+from capershelf.stream import follower
+from capershelf.stream import protocol as p
+from capershelf.stream.keep import Keep
+from capershelf.stream.ledger import Number
+from capershelf.stream.rollout import Plan
+from capershelf.stream.service import ControlService, End, versions_in
+from capershelf.stream.stream import Stream
+from tests.peers import OPERATOR, PATIENCE_S
+from tests.test_memory_running import Answering, Load, free_port
+from tests.test_stream_decisions import OWN, changed
+
+CLOCK = SystemClock()
+
+
+def until(holds: Callable[[], Any]) -> None:
+    pause = threading.Event()
+    for _ in range(int(PATIENCE_S * 200)):
+        if holds():
+            return
+        pause.wait(0.005)
+    raise AssertionError("it never came about")
+
+
+def push(folder: Path, document: dict[str, Any], *options: str) -> str:
+    path = folder / "next.txt"
+    path.write_text(json.dumps(document))
+    found = CliRunner().invoke(main, ["control", "push", str(folder), str(path), *options])
+    assert found.exit_code == 0, found.output
+    return found.output.split()[-1]
+
+
+def attempts(number: int) -> dict[str, Any]:
+    return changed("settings/bounds/max-attempts", number)
+
+
+class Service:
+    """A control service on a folder."""
+
+    def __init__(self, folder: Path, listen: str = "127.0.0.1:0", **more: Any) -> None:
+        more.setdefault("plan", Plan())
+        self.folder = folder
+        self.service = ControlService(folder, listen, CLOCK, **more)
+        self.address = f"{'ws://' if more.get('websocket') else ''}127.0.0.1:{self.service.port}"
+        self.service.start()
+        self.thread = threading.Thread(target=self.service.run, daemon=True)
+        self.thread.start()
+
+    def proxy(self, name: str = "gate-proxy-1") -> dict[str, Any]:
+        return self.service.fleet.proxies.get(name, {})
+
+    def wait(self, what: str, wanted: Any) -> None:
+        """Until the proxy has, or has refused, this version."""
+        def come() -> bool:
+            found = self.proxy().get(what)
+            return bool((found["version"] if isinstance(found, dict) else found) == wanted)
+
+        until(come)
+
+    def end(self) -> None:
+        self.service.inbox.put(End())
+        self.thread.join(PATIENCE_S)
+
+
+class Proxy:
+    """A node that follows, as `serve` puts it together."""
+
+    def __init__(self, stream: dict[str, Any], **changes: Any) -> None:
+        table = {key: value for key, value in OWN.items() if key not in ("eureka", "websocket")}
+        table |= {"listen": "127.0.0.1:0", "known": {"rev": 1, "notices": []}, "stream": stream} | changes
+        base = configuration.read(table, {})
+        self.stream = Stream(base, {}, CLOCK)
+        self.node = Node(self.stream.config)
+        self.node.start()
+        self.stream.start(self.node)
+
+    @property
+    def attempts(self) -> int:
+        found = {planner._settings.max_attempts for planner in self.node.planners}
+        return found.pop() if len(found) == 1 else -1
+
+    def end(self) -> None:
+        self.stream.end()
+        if self.stream._folder is not None:
+            self.stream._folder.unlock()
+        threading.Thread(target=self.node.stop, daemon=True).start()
+
+
+@pytest.fixture
+def ends() -> Iterator[list[Any]]:
+    started: list[Any] = []
+    yield started
+    for one in reversed(started):
+        one.end()
+
+
+@pytest.mark.parametrize("websocket", [False, True])
+def test_good_bad_and_good_again_over_both_framings_in_every_planner(
+    tmp_path: Path, ends: list[Any], websocket: bool
+) -> None:
+    service = Service(tmp_path, websocket=websocket)
+    ends.append(service)
+    proxy = Proxy({"services": [service.address]}, planners=3)
+    ends.append(proxy)
+    push(tmp_path, attempts(4) | {"planners": 1})
+    service.wait("has", "1.1")
+    assert proxy.attempts == 4
+    assert service.proxy()["notes"] == ["planners"]
+    push(tmp_path, changed("settings/family-info/release", 150), "--unchecked")
+    service.wait("refuse", "1.2")
+    assert service.proxy()["refuse"] | {"text": ""} == {
+        "version": "1.2", "code": "release-gap", "path": "settings.family-info.release", "text": "",
+    }
+    assert proxy.attempts == 4
+    push(tmp_path, attempts(3))
+    service.wait("has", "1.3")
+    assert proxy.attempts == 3
+
+
+def test_under_load_every_call_has_one_outcome_while_versions_come_and_services_die(
+    tmp_path: Path, ends: list[Any]
+) -> None:
+    """Good, bad and truncated versions, a service that vanishes in the middle, and SIGHUP's reload."""
+    servers, port = [Answering(), Answering()], free_port()
+    targets = [{"uid": f"s{n}", "endpoint": one.endpoint, "pod_group": n, "state": "up", "boot_ms": 0}
+               for n, one in enumerate(servers)]
+    known = {"rev": 1, "notices": [{"rev": 1, "pool": {"rev": 1, "all": True, "targets": targets}}]}
+    folder, kept = tmp_path / "versions", tmp_path / "kept"
+    folder.mkdir()
+    kept.mkdir()
+    liar = Liar()
+    ends.append(liar)
+    service = Service(folder)
+    ends.append(service)
+    proxy = Proxy({"services": [liar.address, service.address], "folder": str(kept)}, known=known,
+                  listen=f"127.0.0.1:{port}", planners=2)
+    ends.append(proxy)
+    load = Load(port)
+    until(lambda: len(load.taken) > 30)
+    for number in range(1, 9):
+        if number % 3 == 0:
+            push(folder, attempts(9), "--unchecked")
+            service.wait("refuse", f"1.{number}")
+        else:
+            push(folder, attempts(1 + number % 6))
+            service.wait("has", f"1.{number}")
+            assert proxy.attempts == 1 + number % 6
+        if number == 4:
+            proxy.stream.rebase(configuration.read(dict(proxy.stream._base.table), {}))
+        if number == 5:
+            service.end()
+            service = Service(folder, f"127.0.0.1:{service.service.port}")
+            ends.append(service)
+            service.wait("connected", True)
+    load.end()
+    assert liar.cut >= 1
+    assert len(load.taken) > 60
+    outcomes = [load.outcomes[call] for call in load.taken]
+    assert max(map(len, outcomes)) == 1
+    assert sum(one == ["answer"] for one in outcomes) > 60
+    assert Keep(Folder(kept), "gate-proxy-1").load()[0].number == Number(1, 8)  # type: ignore[union-attr]
+
+
+class Liar:
+    """A service that vanishes in the middle: of a version, of a part, of a line, and says nothing of use."""
+
+    def __init__(self) -> None:
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        self.cut = 0
+        self.published = p.Published.of(Number(1, 999), {"settings": {}, "pad": "x" * 50_000})
+        threading.Thread(target=self._run, daemon=True).start()
+
+    def _run(self) -> None:
+        while True:
+            try:
+                sock, _ = self.listener.accept()
+            except OSError:
+                return
+            sock.recv(4096)
+            shelf = p.Shelf()
+            end = p.ServiceEnd(shelf)
+            say = [step.message for step in end.offer(self.published) if isinstance(step, p.Say)]
+            part = {"type": "part", "epoch": 1, "version": 999, "number": 0, "data": "AAAA" * 2000}
+            lines = [p.encode(one) + b"\n" for one in ({"type": "welcome", "speaks": 1}, *say, part)]
+            data = b"".join(lines)
+            sock.sendall(data[:len(data) - 100 * self.cut % len(data)] if self.cut else data[:-1])
+            self.cut += 1
+            sock.close()
+
+    def end(self) -> None:
+        self.listener.close()
+
+
+def test_a_start_without_a_service_uses_the_version_that_was_kept(tmp_path: Path, ends: list[Any]) -> None:
+    folder, kept = tmp_path / "versions", tmp_path / "kept"
+    folder.mkdir()
+    kept.mkdir()
+    service = Service(folder)
+    first = Proxy({"services": [service.address], "folder": str(kept)})
+    push(folder, attempts(2) | {"planners": 2})
+    service.wait("has", "1.1")
+    assert len(first.node.planners) == 1
+    first.end()
+    service.end()
+    said: list[str] = []
+    sink = logger.add(said.append, format="{message}", level="INFO")
+    second = Proxy({"services": [service.address], "folder": str(kept)})
+    logger.remove(sink)
+    ends.append(second)
+    assert any("starts with version 1.1, kept" in line for line in said)
+    assert (second.attempts, len(second.node.planners)) == (2, 2)  # what waited for a start holds now
+    second.end()
+    held = (kept / "version.1").read_bytes()
+    (kept / "version.1").write_bytes(held[:-3])
+    third = Proxy({"services": [service.address], "folder": str(kept)})
+    ends.append(third)
+    assert third.attempts == 6
+    assert (kept / "version.1.spoilt-0").read_bytes() == held[:-3]
+
+
+def test_a_version_that_makes_the_proxy_refuse_is_put_back_and_not_taken_again(
+    tmp_path: Path, ends: list[Any]
+) -> None:
+    service = Service(tmp_path)
+    ends.append(service)
+    proxy = Proxy({"services": [service.address], "probation": 60_000, "least": 20})
+    ends.append(proxy)
+    push(tmp_path, attempts(5))
+    service.wait("has", "1.1")
+    push(tmp_path, attempts(2))
+    service.wait("has", "1.2")
+    planner = proxy.node.planners[0]
+    pause = threading.Event()
+    for _ in range(400):  # until slots that lie wholly after the take-over have enough of them
+        planner.given, planner.refused = planner.given + 5, planner.refused + 5
+        if pause.wait(0.05) or service.proxy().get("back"):
+            break
+    until(lambda: service.proxy().get("back"))
+    until(lambda: proxy.attempts == 5)
+    assert service.proxy()["back"]["version"] == "1.2"
+    assert service.service._rollout is not None
+    assert "halted" in service.service._rollout.state
+    service.end()
+    again = Service(tmp_path, f"127.0.0.1:{service.service.port}")
+    ends.append(again)
+    again.wait("connected", True)
+    push(tmp_path, attempts(4))
+    again.wait("has", "1.3")
+    assert proxy.attempts == 4
+
+
+def test_signed_versions_only_where_keys_are_given(tmp_path: Path, ends: list[Any]) -> None:
+    folder, keys = tmp_path / "versions", tmp_path / "keys"
+    folder.mkdir()
+    run = CliRunner()
+    for name in ("ours", "theirs"):
+        assert run.invoke(main, ["control", "key", str(keys), name]).exit_code == 0
+    (tmp_path / "trusted").mkdir()
+    (keys / "ours.pub").rename(tmp_path / "trusted" / "ours.pub")
+    service = Service(folder)
+    ends.append(service)
+    proxy = Proxy({"services": [service.address], "keys": str(tmp_path / "trusted")})
+    ends.append(proxy)
+    for number, options, code in (
+        (1, [], "unsigned"), (2, ["--sign-with", str(keys / "theirs.key")], "unknown-key"),
+        (3, ["--sign-with", str(keys / "theirs.key"), "--key-name", "ours"], "bad-signature"),
+        (4, ["--sign-with", str(keys / "ours.key"), "--valid", "-1"], "expired"),
+    ):
+        push(folder, attempts(number), *options)
+        service.wait("refuse", f"1.{number}")
+        assert service.proxy()["refuse"]["code"] == code
+    push(folder, attempts(5), "--sign-with", str(keys / "ours.key"))
+    service.wait("has", "1.5")
+    assert proxy.attempts == 5
+    (keys / "ours.key").chmod(0o644)
+    (folder / "next.txt").write_text("{}")
+    found = run.invoke(main, ["control", "push", str(folder), str(folder / "next.txt"), "--sign-with",
+                              str(keys / "ours.key")])
+    assert found.exit_code == 1
+    assert "open to others" in found.output
+
+
+def authority(folder: Path, name: str) -> Callable[[str], tuple[str, str]]:
+    """A CA, and what makes certificates from it."""
+    now = datetime.datetime.now(datetime.UTC)
+    key = ec.generate_private_key(ec.SECP256R1())
+    title = x509.Name([x509.NameAttribute(x509.NameOID.COMMON_NAME, name)])
+
+    def made(subject: x509.Name, public: Any, ca: bool) -> x509.Certificate:
+        builder = x509.CertificateBuilder().subject_name(subject).issuer_name(title).public_key(public)
+        builder = builder.serial_number(x509.random_serial_number()).not_valid_before(now)
+        builder = builder.not_valid_after(now + datetime.timedelta(days=1))
+        builder = builder.add_extension(x509.BasicConstraints(ca, None), True)
+        builder = builder.add_extension(x509.SubjectKeyIdentifier.from_public_key(public), False)
+        builder = builder.add_extension(
+            x509.AuthorityKeyIdentifier.from_issuer_public_key(key.public_key()), False
+        )
+        if ca:
+            usage = x509.KeyUsage(True, False, False, False, False, True, True, False, False)
+            builder = builder.add_extension(usage, True)
+        else:
+            names = x509.SubjectAlternativeName([x509.IPAddress(ipaddress.ip_address("127.0.0.1"))])
+            builder = builder.add_extension(names, False)
+        return builder.sign(key, hashes.SHA256())
+
+    pem = serialization.Encoding.PEM
+    (folder / f"{name}.pem").write_bytes(made(title, key.public_key(), True).public_bytes(pem))
+
+    def issue(subject: str) -> tuple[str, str]:
+        own = ec.generate_private_key(ec.SECP256R1())
+        entry = x509.Name([x509.NameAttribute(x509.NameOID.COMMON_NAME, subject)])
+        certificate, secret = folder / f"{subject}.pem", folder / f"{subject}.key"
+        certificate.write_bytes(made(entry, own.public_key(), False).public_bytes(pem))
+        secret.touch(0o600)
+        secret.write_bytes(own.private_bytes(
+            pem, serialization.PrivateFormat.PKCS8, serialization.NoEncryption()
+        ))
+        return str(certificate), str(secret)
+
+    return issue
+
+
+@pytest.mark.parametrize("websocket", [False, True])
+def test_tls_with_certificates_of_both_ends_and_a_key_that_is_changed(
+    tmp_path: Path, ends: list[Any], websocket: bool
+) -> None:
+    folder = tmp_path / "versions"
+    folder.mkdir()
+    issue, foreign = authority(tmp_path, "ca"), authority(tmp_path, "other-ca")
+    ca = str(tmp_path / "ca.pem")
+    server = issue("server")
+    service = Service(folder, websocket=websocket, identity=Identity(ca, *server))
+    ends.append(service)
+    names = {"certificate": "", "key-file": ""}
+    certificate, key = foreign("stranger")
+    stranger = Proxy({"services": [service.address], "ca": ca, "certificate": certificate, "key-file": key},
+                     name="stranger")
+    ends.append(stranger)
+    certificate, key = issue("client")
+    names |= {"certificate": certificate, "key-file": key}
+    proxy = Proxy({"services": [service.address], "ca": ca} | names)
+    ends.append(proxy)
+    push(folder, attempts(4) | {"known": {"rev": 1, "notices": []}})
+    service.wait("has", "1.1")
+    assert proxy.attempts == 4
+    assert service.proxy("stranger") == {}
+    issue("server")  # the same files anew: the next connection uses them
+    issue("client")
+    for peer in list(service.service._peers.values()):
+        peer.connection.close()
+    push(folder, attempts(3))
+    service.wait("has", "1.2")
+    Path(key).chmod(0o644)
+    with pytest.raises(ValueError, match="open to others"):
+        Identity(ca, certificate, key).context(server=False)
+
+
+def test_a_service_that_trickles_or_never_ends_a_line_is_left_for_the_next(
+    tmp_path: Path, ends: list[Any], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(follower, "HALF_MS", 100.0)
+    monkeypatch.setattr(follower, "SILENT_MS", 300.0)
+    service = Service(tmp_path)
+    ends.append(service)
+    slow: queue.SimpleQueue[socket.socket] = queue.SimpleQueue()
+    listener = socket.create_server(("127.0.0.1", 0))
+
+    def trickle() -> None:
+        while True:
+            sock, _ = listener.accept()
+            sock.send(b'{"type":"welcome"')
+            slow.put(sock)
+
+    threading.Thread(target=trickle, daemon=True).start()
+    address = f"127.0.0.1:{listener.getsockname()[1]}"
+    proxy = Proxy({"services": [address, service.address]})
+    ends.append(proxy)
+    push(tmp_path, attempts(4))
+    until(lambda: proxy.attempts == 4)
+    assert slow.get(timeout=PATIENCE_S).recv(100).startswith(b'{"can"')
+
+
+def test_stages_hold_the_fleet_back_until_the_first_have_passed(tmp_path: Path, ends: list[Any]) -> None:
+    service = Service(tmp_path, plan=Plan((0.3, 1.0), 300.0))
+    ends.append(service)
+    heard: dict[str, queue.SimpleQueue[dict[str, Any]]] = {}
+    peers = []
+    for name in ("a", "b", "c"):
+        lines: queue.SimpleQueue[dict[str, Any]] = queue.SimpleQueue()
+        heard[name] = lines
+        connection = Connection(
+            socket.create_connection(("127.0.0.1", service.service.port)), Lines(),
+            lambda line, lines=lines: lines.put(json.loads(line)),  # type: ignore[misc]
+            lambda: None, name, CLOCK, CLOCK.now_ms() + 9000.0,
+        )
+        connection.start()
+        connection.post(p.encode({"type": "hello", "proxy": name, "speaks": [1], "can": ["whole"]}))
+        peers.append(connection)
+    until(lambda: len(service.service.fleet.proxies) == 3)
+    push(tmp_path, attempts(4))
+
+    def offered(name: str) -> bool:
+        while not heard[name].empty():
+            if heard[name].get()["type"] == "offer":
+                seen.add(name)
+        return name in seen
+
+    seen: set[str] = set()
+    until(lambda: [offered(name) for name in heard].count(True) == 1)
+    [first] = seen
+    digest = p.Published.of(Number(1, 1), attempts(4)).digest
+    connection = peers["abc".index(first)]
+    connection.post(p.encode({"type": "ack", "epoch": 1, "version": 1, "digest": digest, "notes": []}))
+    until(lambda: [offered(name) for name in heard].count(True) == 3)
+    found = json.loads(CliRunner().invoke(main, ["control", "status", str(tmp_path), "--json"]).output)
+    assert found["rollout"]["state"] == "stage 2 of 2"
+    assert found["proxies"][first]["has"] == "1.1"
+    assert "stage 2 of 2" in CliRunner().invoke(main, ["control", "status", str(tmp_path)]).output
+
+
+def test_the_commands_number_check_and_sign(tmp_path: Path) -> None:
+    run, file = CliRunner(), tmp_path / "one.txt"
+    assert [push(tmp_path, {}) for _ in range(2)] == ["1.1", "1.2"]
+    assert push(tmp_path, {}, "--epoch", "7") == "7.1"
+    assert versions_in(tmp_path) == [Number(1, 1), Number(1, 2), Number(7, 1)]
+    file.write_text("{}")
+    assert run.invoke(main, ["control", "push", str(tmp_path), str(file), "--epoch", "3"]).exit_code == 2
+    assert run.invoke(main, ["control", "check", str(file)]).output == "good\n"
+    file.write_text(json.dumps(attempts(7)))
+    found = run.invoke(main, ["control", "check", str(file)])
+    assert found.exit_code == 1
+    assert "settings.bounds.max-attempts: 7, at most 6 [attempts]" in found.output
+    assert run.invoke(main, ["control", "key", str(tmp_path), "k"]).exit_code == 0
+    key = str(tmp_path / "k.key")
+    signed = run.invoke(main, ["control", "sign", str(tmp_path), "1.2", "--sign-with", key])
+    assert signed.output == "version 1.2 is signed\n"
+    assert json.loads((tmp_path / "1.2.sig").read_text())["key"] == "k"
+
+
+def test_a_file_that_breaks_a_standing_rule_is_named_by_check_config(tmp_path: Path) -> None:
+    path = tmp_path / "own.toml"
+    path.write_text(OPERATOR.read_text().replace("release = 200.0", "release = 20.0"))
+    found = CliRunner().invoke(main, ["check-config", "--config", str(path)])
+    assert found.exit_code == 1
+    assert "settings.family-info.release" in found.output
+    assert "[release-gap]" in found.output
