Give every log line an event and fields, as text or JSON lines, and measure the stream

Need: the stream's operators, and later subsystems, want log lines that programs can read; the issue asks for the stream at 1,000 proxies.

--- a/capershelf/benchlink.py
+++ b/capershelf/benchlink.py
@@ -152,7 +152,7 @@
                 return f"inspect {who} {server}"
             case api.SetTimer(delay_ms, name):
                 return f"arm {who} {delay_ms:.3f} {name}"
-            case api.Log(text):
+            case api.Log(text, _):
                 return f"debug {who} {text}"
 
 
--- a/capershelf/cli.py
+++ b/capershelf/cli.py
@@ -6,7 +6,6 @@
 import os
 import queue
 import signal
-import sys
 from importlib import metadata
 from typing import TYPE_CHECKING
 
@@ -14,6 +13,7 @@
 from loguru import logger
 
 from capershelf import config as configuration
+from capershelf import logs
 from capershelf.node import Node
 from capershelf.release import VERSION
 
@@ -46,14 +46,6 @@
         return command
 
 
-def set_up_log(level: str) -> None:
-    logger.remove()
-    logger.add(
-        sys.stderr, level=level, backtrace=False, diagnose=False,
-        format="{time:HH:mm:ss.SSS} {level: <7} {message}",
-    )
-
-
 @click.group(cls=Commands, invoke_without_command=True)
 @click.pass_context
 def main(context: click.Context) -> None:
@@ -68,10 +60,14 @@
 @main.command()
 @CONFIG
 @click.option("--log-level", default="INFO", show_default=True, help="As loguru names them.")
-def serve(path: str | None = None, log_level: str = "INFO") -> None:
+@click.option("--log-format", type=click.Choice(logs.FORMATS), default="text", show_default=True)
+def serve(path: str | None = None, log_level: str = "INFO", log_format: str = "text") -> None:
     """Serve until SIGTERM or SIGINT, then answer all that was taken and exit; SIGHUP reads the
     configuration again."""
-    set_up_log(log_level)
+    try:
+        logs.set_up(log_level, log_format)
+    except ValueError as problem:
+        raise click.UsageError(str(problem)) from problem
     signals: queue.SimpleQueue[int] = queue.SimpleQueue()  # the one queue that a handler may put into
     for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
         signal.signal(number, lambda told, _: signals.put(told))
@@ -86,7 +82,7 @@
         stream.start(node)
     while signals.get() == signal.SIGHUP:
         reload(node, stream, path)
-    logger.info("told to stop")
+    logger.info("told to stop", event="stopping")
     if stream is not None:
         stream.end()
     node.stop()
@@ -107,9 +103,12 @@
         config = configuration.load(os.environ, path)
         node.reload(config) if stream is None else stream.rebase(config)
     except Exception as problem:
-        logger.error("the new configuration is not taken, the old one stays in force: {}", problem)
+        logger.error(
+            "the new configuration is not taken, the old one stays in force: {problem}",
+            event="reload-refused", problem=problem
+        )
     else:
-        logger.info("the configuration has been read again")
+        logger.info("the configuration has been read again", event="reloaded")
 
 
 @main.command()
--- a/capershelf/commands/control.py
+++ b/capershelf/commands/control.py
@@ -18,6 +18,7 @@
 from rich.console import Console
 from rich.table import Table
 
+from capershelf import logs
 from capershelf.core.clock import SystemClock
 from capershelf.net.tls import Identity
 from capershelf.stream import document as doc
@@ -45,14 +46,13 @@
 @click.option("--certificate", default="", help="TLS: this service's certificate,")
 @click.option("--key-file", default="", help="its key,")
 @click.option("--client-ca", default="", help="and the CA that proxies' certificates must come from.")
+@click.option("--log-format", type=click.Choice(logs.FORMATS), default="text", show_default=True)
 def serve(
     folder: Path, listen: str, websocket: bool, stages: str, watch: float, certificate: str, key_file: str,
-    client_ca: str,
+    client_ca: str, log_format: str,
 ) -> None:
     """Offer the versions in FOLDER until SIGTERM or SIGINT."""
-    from capershelf.cli import set_up_log
-
-    set_up_log("INFO")
+    logs.set_up("INFO", log_format)
     try:
         plan = Plan(tuple(float(one) for one in stages.split(",")), 1000.0 * watch)
         identity = Identity(client_ca, certificate, key_file) if certificate else None
--- a/capershelf/control.py
+++ b/capershelf/control.py
@@ -797,7 +797,7 @@
     def log(self, gate: Gate, text: str) -> None:
         if self.now_ms - gate.logged.get(text[:10], -math.inf) >= LOG_MS:
             gate.logged[text[:10]] = self.now_ms
-            self.actions.append(Log(f"server {gate.id} {text}"))
+            self.actions.append(Log(f"server {gate.id} {text}", gate.id))
 
 
 def check(settings: Settings) -> None:
--- a/capershelf/core/planner.py
+++ b/capershelf/core/planner.py
@@ -87,14 +87,19 @@
             try:
                 self.take(event)
             except Exception:  # one bad event must not take the thread that everything rests on
-                logger.exception("{}: event {} could not be dealt with", self.name, type(event).__name__)
+                logger.exception(
+                    "{planner}: event {what} could not be dealt with", event="planner-fault",
+                    planner=self.name, what=type(event).__name__
+                )
         now_ms = self.clock.now_ms()
         while self._timers and self._timers[0].at_ms <= now_ms:
             timer = heapq.heappop(self._timers)
             try:
                 timer.fire()
             except Exception:  # as above
-                logger.exception("{}: a timer could not be dealt with", self.name)
+                logger.exception(
+                    "{planner}: a timer could not be dealt with", event="timer-fault", planner=self.name
+                )
 
     def finished(self) -> bool:
         if self._stop is None or self.open_calls or not self.inbox.empty():
@@ -152,7 +157,10 @@
             return
         now_ms = self.clock.now_ms()
         if request.call_class not in self._classes:
-            logger.warning("call {}: unknown class {!r}", request.id, request.call_class)
+            logger.warning(
+                "call {call}: unknown class {call_class!r}", event="class-unknown", call=request.id,
+                call_class=request.call_class
+            )
             caller.tell(m.Failed(request.id, m.INVALID))
             return
         call = self._calls[request.key] = m.Call(request, caller)
@@ -173,10 +181,16 @@
         if call.caller is caller:
             return
         if not caller.outlived or call.request.description != request.description:
-            logger.warning("call {}: its id was used again for another call", request.id)
+            logger.warning(
+                "call {call}: its id was used again for another call", event="call-id-reused",
+                call=request.id
+            )
             caller.tell(m.Failed(request.id, m.INVALID))
             return
-        logger.info("call {}: its caller is back, {}", call.request.id, call.state.value)
+        logger.info(
+            "call {call}: its caller is back, {state}", event="caller-back", call=call.request.id,
+            state=call.state.value
+        )
         if call.caller is None and call.state is m.State.STANDS and caller.outlived:
             call.unheard = call.answer  # a caller that asks again has not seen it
         call.caller = caller
@@ -232,7 +246,9 @@
     def _expire(self, call: m.Call) -> None:
         """The caller's time is over."""
         if call.state is m.State.OPEN:
-            logger.warning("call {}: no outcome by its deadline", call.request.id)
+            logger.warning(
+                "call {call}: no outcome by its deadline", event="call-expired", call=call.request.id
+            )
             self._leave(call, api.Result.TIMEOUT)
             self._say(call, m.Refused(call.request.id))
         elif call.state is m.State.STANDS and isinstance(call.unheard, m.Answered):
@@ -343,6 +359,8 @@
         call.attempt = None
         if (server := self._known.get(attempt.server)) is not None:
             server.calls.pop(call.request.key, None)
+        logger.debug("call {call}: attempt {attempt} at {server} is over: {result}", event="attempt-over",
+                     call=call.request.id, attempt=attempt.number, server=attempt.server, result=result.value)
         if attempt.epoch is not None and result in (api.Result.TIMEOUT, api.Result.CANCELLED):
             self.servers.release(attempt.server, call.request.id, m.NORMAL)
         self._feed(api.AttemptOver(
@@ -424,7 +442,10 @@
     def _replace(self, endpoint: str, by: str) -> None:
         """Guards a server from the calls of the one whose address it has taken over."""
         for server in [one for one in self._known.values() if one.endpoint == endpoint and one.id != by]:
-            logger.info("{}: server {} has the address of {}", self.name, by, server.id)
+            logger.info(
+                "{planner}: server {server} has the address of {before}", event="address-taken",
+                planner=self.name, server=by, before=server.id
+            )
             server.gone, server.epoch = True, None
             del self._known[server.id]
             self.servers.close(server.id)
@@ -481,7 +502,10 @@
                 for action in self._controller.handle(self._now_ms, self._todo[0]):
                     self._perform(action)
             except Exception:  # a call's outcome is owed all the same: its deadline is watched here
-                logger.exception("{}: the module could not take {}", self.name, self._todo[0])
+                logger.exception(
+                    "{planner}: the module could not take {what}", event="module-fault", planner=self.name,
+                    what=self._todo[0]
+                )
             finally:
                 done = self._todo.popleft()
             if self.memory is not None and isinstance(done, api.Stands | api.AttemptOver | api.ServerReport):
@@ -505,8 +529,9 @@
                 self._probe(server_id)
             case api.SetTimer(delay_ms, name):
                 self.at(self.clock.now_ms() + delay_ms, lambda: self._feed(api.TimerFired(name)))
-            case api.Log(text):
-                logger.info("{}: {}", self.name, text)
+            case api.Log(text, server):
+                logger.info("{planner}: {text}", event="decision", planner=self.name, server=server,
+                            text=text)
 
     def _send(self, key: int, server_id: str, timeout_ms: float) -> None:
         now_ms = self.clock.now_ms()
--- a/capershelf/fronts/listener.py
+++ b/capershelf/fronts/listener.py
@@ -48,14 +48,15 @@
             except OSError as problem:
                 if self._sock.fileno() < 0:
                     return
-                logger.warning("accept: {}", problem)  # such as no descriptor left
+                # such as no descriptor left
+                logger.warning("accept: {problem}", event="accept-failed", problem=problem)
                 self._make_room(ROOM)
                 self._pause.wait(PAUSE_S)  # guards the processor while that lasts
                 continue
             try:
                 self._admit(sock, f"{address[0]}:{address[1]}")
             except Exception:  # guards the one accepting thread
-                logger.exception("a caller could not be taken in")
+                logger.exception("a caller could not be taken in", event="caller-fault")
                 sock.close()
 
     def _admit(self, sock: socket.socket, name: str) -> None:
@@ -64,7 +65,8 @@
         full = connected >= self._most and not self._make_room(ROOM)
         framing = self._framing(full) if connected < self._most + TURNED_AWAY else None
         if full or framing is None:
-            MUFFLE.warn(self._house.clock.now_ms(), f"{name}: turned away, {connected} callers are connected")
+            MUFFLE.warn(self._house.clock.now_ms(), "{peer}: turned away, {count} callers are connected",
+                        event="caller-turned-away", peer=name, count=connected)
         if framing is None:
             sock.close()
             return
--- a/capershelf/fronts/session.py
+++ b/capershelf/fronts/session.py
@@ -42,14 +42,15 @@
     def __init__(self) -> None:
         self._since_ms, self._lines, self._swallowed = -math.inf, 0, 0
 
-    def warn(self, now_ms: float, text: str) -> None:
+    def warn(self, now_ms: float, text: str, **fields: object) -> None:
         if now_ms - self._since_ms >= LOUD_MS:
             if self._swallowed:
-                logger.warning("{} more lines about bad callers were left out", self._swallowed)
+                logger.warning("{count} more lines about bad callers were left out", event="lines-left-out",
+                               count=self._swallowed)
             self._since_ms, self._lines, self._swallowed = now_ms, 0, 0
         self._lines += 1
         if self._lines <= LOUD:
-            logger.warning("{}", text)
+            logger.warning(text, **fields)
         else:
             self._swallowed += 1
 
@@ -182,7 +183,8 @@
     def _foul(self, reason: str) -> bool:
         """Last words: the calls open here get their outcome, then the caller is told why it is hung up on."""
         now_ms = self._clock.now_ms()
-        MUFFLE.warn(now_ms, f"{self.name}: hung up on: {reason}")
+        MUFFLE.warn(now_ms, "{peer}: hung up on: {reason}", event="caller-hung-up", peer=self.name,
+                    reason=reason)
         with self._lock:
             self._leaving, owed = True, bool(self._open)
         if owed:
@@ -210,7 +212,8 @@
             message = vocabulary.decode(line)
             self._take(message, now_ms)
         except vocabulary.UnusableError as problem:
-            MUFFLE.warn(now_ms, f"{self.name}: call {problem.id} can't be used: {problem}")
+            MUFFLE.warn(now_ms, "{peer}: call {call} can't be used: {problem}", event="set-up-unusable",
+                        peer=self.name, call=problem.id, problem=str(problem))
             with self._lock:
                 self._strikes += 1
                 out = self._strikes > STRIKES
--- a/capershelf/interface.py
+++ b/capershelf/interface.py
@@ -293,9 +293,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Log:
-    """A line for the operators' log."""
+    """A line for the operators' log; server: the one it is about."""
 
     text: str
+    server: str = ""
 
 
 Action = Send | Refuse | Fail | Cancel | Probe | SetTimer | Log
--- a/capershelf/memory/keeper.py
+++ b/capershelf/memory/keeper.py
@@ -87,7 +87,10 @@
                 self._put(self._carried(record, aged, located, vouched, now_ms))
         if counts:
             said = ", ".join(f"{number} ({verdict.value})" for verdict, number in counts.items())
-            logger.info("memory: {} servers start from what was known; listed: {}", len(known), said)
+            logger.info(
+                "memory: {count} servers start from what was known; listed: {listed}",
+                event="memory-recalled", count=len(known), listed=said
+            )
         asked = 0.0
         if self._first:
             asked = age_asked(self._book, clocks, self._terms.lives, self._terms.most_age_ms,
--- a/capershelf/memory/memory.py
+++ b/capershelf/memory/memory.py
@@ -77,18 +77,26 @@
             store = Store(self._folder, who.name, key)
             book, said = store.load()
         except BusyError as problem:
-            logger.warning("memory: {}; this proxy serves without memory", problem)
+            logger.warning(
+                "memory: {problem}; this proxy serves without memory", event="memory-held", problem=problem
+            )
             return
         except NewerError as problem:
-            logger.warning("memory: {}; left untouched, this proxy serves without memory", problem)
+            logger.warning(
+                "memory: {problem}; left untouched, this proxy serves without memory",
+                event="memory-newer", problem=problem
+            )
             self._folder.unlock()
             return
         except OSError as problem:
-            logger.warning("memory: {}; this proxy serves without memory until its next start", problem)
+            logger.warning(
+                "memory: {problem}; this proxy serves without memory until its next start",
+                event="memory-unusable", problem=problem
+            )
             self._folder.unlock()
             return
         for line in said:
-            logger.warning("memory: {}", line)
+            logger.warning("memory: {problem}", event="memory-set-aside", problem=line)
         self._say(book, clock.now_ms(), settings.most_age_ms)
         self._writer = writer = Writer(
             store, clock, settings.period_ms, who.release, who.name, who.senders,
@@ -102,15 +110,24 @@
     @staticmethod
     def _say(book: Book | None, now_ms: float, most_age_ms: float) -> None:
         if book is None:
-            logger.info("memory: nothing is known yet")
+            logger.info("memory: nothing is known yet", event="memory-empty")
             return
         age_s = (now_ms - book.saved_ms) / 1000.0
         if age_s < 0:
-            logger.warning("memory: written {:.0f} s in the future; taken to be as old as that", -age_s)
+            logger.warning(
+                "memory: written {ahead_s:.0f} s in the future; taken to be as old as that",
+                event="memory-from-the-future", ahead_s=-age_s
+            )
         if abs(age_s) * 1000.0 > most_age_ms:
-            logger.warning("memory: {:.0f} s old, beyond the greatest age: nothing of it counts", abs(age_s))
-        logger.info("memory: generation {} of release {}, {:.0f} s old, {} servers", book.generation,
-                    book.release, age_s, len(book.servers))
+            logger.warning(
+                "memory: {age_s:.0f} s old, beyond the greatest age: nothing of it counts",
+                event="memory-too-old", age_s=abs(age_s)
+            )
+        logger.info(
+            "memory: generation {generation} of release {release}, {age_s:.0f} s old, {count} servers",
+            event="memory-read", generation=book.generation, release=book.release, age_s=age_s,
+            count=len(book.servers)
+        )
 
     def start(self) -> None:
         if self._writer is not None:
@@ -123,5 +140,8 @@
         by_ms = self._clock.now_ms() + CLOSE_MS
         self._writer.inbox.put(End())
         if not self._writer.ended.wait(self._clock.seconds_until(by_ms)):
-            logger.warning("memory: the last write did not end in time; the one before holds")
+            logger.warning(
+                "memory: the last write did not end in time; the one before holds",
+                event="memory-last-write-late"
+            )
         self._folder.unlock()
--- a/capershelf/memory/writer.py
+++ b/capershelf/memory/writer.py
@@ -66,13 +66,21 @@
         except Exception as problem:  # whatever a disk does, service goes on and the next try is planned
             self.failures += 1
             again_ms = self._schedule.failed(self._clock.now_ms())
-            logger.warning("memory: not written, again in {:.0f} s: {}", again_ms / 1000.0, problem)
+            logger.warning(
+                "memory: not written, again in {again_s:.0f} s: {problem}", event="memory-unwritten",
+                again_s=again_ms / 1000.0, problem=problem
+            )
             return
         if self.failures:
-            logger.info("memory: written again after {} failures", self.failures)
+            logger.info(
+                "memory: written again after {count} failures", event="memory-written-again",
+                count=self.failures
+            )
         self.writes, self.failures = self.writes + 1, 0
         self._generation = book.generation
         self.last_ms = self._clock.now_ms() - began_ms
         self._schedule.wrote(self._clock.now_ms())
-        logger.debug("memory: {} servers, {} bytes in {:.1f} ms", len(book.servers), self.last_bytes,
-                     self.last_ms)
+        logger.debug(
+            "memory: {count} servers, {bytes} bytes in {took_ms:.1f} ms", event="memory-written",
+            count=len(book.servers), bytes=self.last_bytes, took_ms=self.last_ms
+        )
--- a/capershelf/net/connection.py
+++ b/capershelf/net/connection.py
@@ -146,7 +146,9 @@
                     return True
                 data = data[sent:]
             if self._queued + len(data) > OUTBOX_BYTES:
-                logger.warning("{}: its peer reads too slowly, closed", self.name)
+                logger.warning(
+                    "{peer}: its peer reads too slowly, closed", event="peer-slow", peer=self.name
+                )
                 self._shut()
                 return False
             self._outbox.append(data)
@@ -195,7 +197,7 @@
         except OSError:
             pass  # reset: an end like any other
         except Exception:  # a fault in one connection must not pass without a word, nor reach the others
-            logger.exception("{}: ended by a fault", self.name)
+            logger.exception("{peer}: ended by a fault", event="connection-fault", peer=self.name)
         finally:
             with self._changed:
                 self._shut()
--- a/capershelf/net/links.py
+++ b/capershelf/net/links.py
@@ -81,7 +81,10 @@
                 sock, self._spare = self._spare or self._connect(), None
             except (OSError, ValueError) as problem:
                 if failures == 0:
-                    logger.info("server {}: no connection: {}", self.server, problem)
+                    logger.info(
+                        "server {server}: no connection: {problem}", event="link-refused",
+                        server=self.server, problem=problem
+                    )
                 failures = self._failed(failures, isinstance(problem, ConnectionRefusedError))
                 continue
             self._opened = False
@@ -103,7 +106,10 @@
             if self._opened:
                 failures = 0
                 if connection.dropped and not self._ended:
-                    logger.warning("server {}: connection dropped: {}", self.server, connection.dropped)
+                    logger.warning(
+                        "server {server}: connection dropped: {reason}", event="link-dropped",
+                        server=self.server, reason=connection.dropped
+                    )
                     self._dropped = True
                 self._post(m.LinkDown(self.server, self._epoch))
             else:  # connected, but no WebSocket came of it
--- a/capershelf/node.py
+++ b/capershelf/node.py
@@ -157,7 +157,10 @@
         self._threads = [start_thread(planner.run, planner.name) for planner in self.planners]
         for front in self.fronts:
             front.start()
-        logger.info("{} serves on {}", self.config.name, self.config.listen or "no JSON-lines front")
+        logger.info(
+            "{proxy} serves on {listen}", event="serving", proxy=self.config.name,
+            listen=self.config.listen or "no JSON-lines front"
+        )
 
     def adopt(self, config: Config, done: Callable[[], None]) -> bool:
         """Take a streamed version over; done is called once by each planner.  False: this proxy stops."""
@@ -195,7 +198,10 @@
         if same_kind and address != was:
             for source in self.sources:
                 source.move(address)
-            logger.info("the list of booking servers is now followed at {}", address)
+            logger.info(
+                "the list of booking servers is now followed at {address}", event="registry-moved",
+                address=address
+            )
         elif same_kind and not self.sources and new.known != old.known:
             for news in read_notices(new.known, -1)[1]:
                 self._news(news)
@@ -205,7 +211,7 @@
         if not same_kind:
             changed.append("kind of registry")
         for name in changed:
-            logger.warning("the new {} holds from the next start on", name)
+            logger.warning("the new {field} holds from the next start on", event="next-start", field=name)
         self.config = dataclasses.replace(
             old, board=new.board, known=new.known, eureka=new.eureka, table=new.table
         ) if same_kind else old
@@ -233,4 +239,4 @@
             source.end()
         for front in self.fronts:
             front.close_all()
-        logger.info("{} has answered all it took", self.config.name)
+        logger.info("{proxy} has answered all it took", event="stopped", proxy=self.config.name)
--- a/capershelf/registry/board.py
+++ b/capershelf/registry/board.py
@@ -88,12 +88,12 @@
                 failures = 0
             except (OSError, ValueError) as problem:
                 if failures == 0:
-                    logger.warning("notice board: {}", problem)
+                    logger.warning("notice board: {problem}", event="board-failed", problem=problem)
                 pause_ms = AGAIN_MS[min(failures, len(AGAIN_MS) - 1)]
                 failures += 1
                 self._ended.take(self._clock.now_ms() + pause_ms)
             except Exception:  # the board must not stop service, whatever it sends
-                logger.exception("notice board: an answer could not be dealt with")
+                logger.exception("notice board: an answer could not be dealt with", event="board-fault")
                 self._ended.take(self._clock.now_ms() + AGAIN_MS[-1])
         self._client.close()
 
--- a/capershelf/registry/eureka.py
+++ b/capershelf/registry/eureka.py
@@ -136,10 +136,14 @@
         try:
             what()
         except (OSError, ValueError) as problem:
-            logger.warning("eureka: {}: {}", what.__name__, problem)
+            logger.warning(
+                "eureka: {what}: {problem}", event="eureka-failed", what=what.__name__, problem=problem
+            )
             return False
         except Exception:
-            logger.exception("eureka: {} could not be dealt with", what.__name__)
+            logger.exception(
+                "eureka: {what} could not be dealt with", event="eureka-fault", what=what.__name__
+            )
             return False
         return True
 
@@ -153,7 +157,10 @@
     def fetch(self) -> None:
         """The whole list the first time, then what changed; the whole again if that does not add up."""
         if self._instances is not None and not self._take_delta():
-            logger.info("eureka: the changes do not add up, the whole list is fetched again")
+            logger.info(
+                "eureka: the changes do not add up, the whole list is fetched again",
+                event="eureka-refetch"
+            )
             self._instances = None
         if self._instances is None:
             status, body = self._request("GET", "/apps")
@@ -185,7 +192,7 @@
                 try:
                     servers.append(located(found, instance))
                 except EurekaError as problem:  # one bad entry must not take the others out
-                    logger.warning("eureka: {}", problem)
+                    logger.warning("eureka: {problem}", event="eureka-unreadable", problem=problem)
         if tuple(servers) != self._told:
             self._told = tuple(servers)
             self._version += 1
--- a/capershelf/stream/follower.py
+++ b/capershelf/stream/follower.py
@@ -127,7 +127,9 @@
                 try:
                     self._follow(service)
                 except Exception:  # nothing that a service sends may end the following
-                    logger.exception("stream: a fault with {}", service)
+                    logger.exception(
+                        "stream: a fault with {service}", event="stream-fault", service=service
+                    )
                     self._hang_up("a fault here")
                 self._order.failed()
 
@@ -142,7 +144,10 @@
             context = self._identity.context(server=False) if self._settings.ca else None
             sock = connect(address, self._clock, now_ms + CONNECT_MS)
         except (OSError, ValueError) as problem:
-            logger.info("stream: {}: {}", service, problem)
+            logger.info(
+                "stream: {service}: {problem}", event="service-unreachable", service=service,
+                problem=problem
+            )
             return
         framing: Framing = WebSocket(host) if websocket else Lines()
         if context is not None:
@@ -164,14 +169,20 @@
         while self._connection is not None:
             self._step(min(self._beat_ms, self._fetch_by_ms))
         if connection.dropped:
-            logger.info("stream: {} left: {}", service, connection.dropped)
+            logger.info(
+                "stream: {service} left: {reason}", event="service-left", service=service,
+                reason=connection.dropped
+            )
 
     def _due(self, half_ms: float) -> float:
         return min(self._heard_ms + SILENT_MS, half_ms + HALF_MS)
 
     def _hang_up(self, reason: str) -> None:
         if self._connection is not None:
-            logger.warning("stream: {} hung up on: {}", self._service, reason)
+            logger.warning(
+                "stream: {service} hung up on: {reason}", event="service-hung-up", service=self._service,
+                reason=reason
+            )
             self._connection.close()
             self._connection = None
             for _ in range(WAITING):
@@ -234,8 +245,11 @@
                 case protocol.Hang(reason):
                     self._hang_up(reason)
                 case protocol.Refusing(number, code, text):
-                    logger.warning("stream: version {} of {} refused: {} [{}]", number, self._service, text,
-                                   code)
+                    logger.warning(
+                        "stream: version {version} of {service} refused: {reason} [{code}]",
+                        event="version-refused", version=number, service=self._service, reason=text,
+                        code=code
+                    )
                 case protocol.Arrived():
                     self._consider(step)
 
@@ -281,8 +295,11 @@
         self._before = self._in_force
         self._in_force = InForce(arrived.number, arrived.digest, arrived.document)
         self._save()
-        logger.info("stream: version {} of {} is in force{}", arrived.number, self._service,
-                    f"; from the next start on: {', '.join(found.notes)}" if found.notes else "")
+        logger.info(
+            "stream: version {version} of {service} is in force{notes}", event="version-in-force",
+            version=arrived.number, service=self._service,
+            notes=f"; from the next start on: {', '.join(found.notes)}" if found.notes else ""
+        )
         self._carry_out(self._end.taken(arrived, found.notes))
         if self._settings.probation_ms > 0:
             terms = Terms(self._settings.probation_ms, self._settings.margin, self._settings.least)
@@ -295,7 +312,10 @@
         try:
             self._keep.save(held.number, held.digest, doc.canonical(held.document), self._clock.now_ms())
         except OSError as problem:
-            logger.warning("stream: version {} is in force but not kept: {}", held.number, problem)
+            logger.warning(
+                "stream: version {version} is in force but not kept: {problem}", event="version-unkept",
+                version=held.number, problem=problem
+            )
 
     def _rebase(self, config: Config) -> None:
         """SIGHUP: the new file under the version in force."""
@@ -306,8 +326,10 @@
                 config.table, self._host.config.table, document, self._open_classes(), False, self._environ
             )
             if isinstance(wanted, Offence):
-                logger.error("stream: the file that was read again does not go with version {}: {}",
-                             self._in_force.number, wanted)
+                logger.error(
+                    "stream: the file that was read again does not go with version {version}: {problem}",
+                    event="rebase-refused", version=self._in_force.number, problem=wanted
+                )
                 return
             self._adopt(wanted.config)
         self._base = config
@@ -335,7 +357,10 @@
             return
         self._probation = None
         if verdict == "passed":
-            logger.info("stream: version {} has passed its probation", self._in_force.number)
+            logger.info(
+                "stream: version {version} has passed its probation", event="probation-passed",
+                version=self._in_force.number
+            )
             return
         self._put_back(verdict)
 
@@ -343,11 +368,17 @@
         bad, before = self._in_force, self._before
         found = self._plan(before.document or {})
         if bad.number is None or isinstance(found, Offence):
-            logger.error("stream: version {} does harm ({}), can't be put back: {}", bad.number, why, found)
+            logger.error(
+                "stream: version {version} does harm ({reason}), can't be put back: {problem}",
+                event="put-back-failed", version=bad.number, reason=why, problem=found
+            )
             return
         if not self._adopt(found.config):
             return
-        logger.warning("stream: version {} is put back: {}", bad.number, why)
+        logger.warning(
+            "stream: version {version} is put back: {reason}", event="version-put-back",
+            version=bad.number, reason=why
+        )
         self._in_force, self._before = before, InForce()
         self._save()
         self._carry_out(self._end.put_back(bad.number, before.number, before.document, before.digest, why))
--- a/capershelf/stream/service.py
+++ b/capershelf/stream/service.py
@@ -145,7 +145,7 @@
             try:
                 self._take(event)
             except Exception:  # one proxy must not end the service for all
-                logger.exception("control: a fault")
+                logger.exception("control: a fault", event="control-fault")
         with contextlib.suppress(OSError):
             self._sock.shutdown(socket.SHUT_RDWR)
         self._sock.close()
@@ -181,7 +181,7 @@
             try:
                 framing = Tls(framing, self._identity.context(server=True), True)
             except ValueError as problem:
-                logger.warning("control: {}", problem)
+                logger.warning("control: {problem}", event="control-problem", problem=problem)
                 sock.close()
                 return
         self._count += 1
@@ -211,7 +211,10 @@
                 case protocol.Say(message):
                     peer.connection.post(protocol.encode(message))
                 case protocol.Hang(reason):
-                    logger.warning("control: {} hung up on: {}", peer.end.proxy or "a proxy", reason)
+                    logger.warning(
+                        "control: {proxy} hung up on: {reason}", event="control-hung-up",
+                        proxy=peer.end.proxy or "a proxy", reason=reason
+                    )
                     peer.connection.close()
                 case protocol.Told():
                     self._told(peer, step)
@@ -226,21 +229,27 @@
                 found = read_version(self._folder, number)
             except ValueError as problem:
                 self._unreadable.add(number)
-                logger.error("control: {}", problem)
+                logger.error("control: {problem}", event="control-problem", problem=problem)
                 continue
             self._shelf.add(found)
             self._before, self._newest = self._newest, found
             known = self._rollout
             if known is None or known.number != number:
                 self._rollout = Rollout(number, self._plan)
-            logger.info("control: version {} goes out, {} bytes", number, len(found.data))
+            logger.info(
+                "control: version {version} goes out, {bytes} bytes", event="rollout-begins",
+                version=number, bytes=len(found.data)
+            )
 
     def _advance(self, now_ms: float) -> None:
         if self._rollout is None or self._newest is None:
             return
         connected = {peer.end.proxy for peer in self._peers.values() if peer.end.proxy}
         while self._rollout.advance(set(self.fleet.proxies), connected, now_ms):
-            logger.info("control: version {}: {}", self._rollout.number, self._rollout.state)
+            logger.info(
+                "control: version {version}: {state}", event="rollout-stage", version=self._rollout.number,
+                state=self._rollout.state
+            )
         for peer in self._peers.values():
             if peer.end.proxy:
                 self._offer(peer)
@@ -275,8 +284,10 @@
             self.fleet.note(told.proxy, now_ms, **{told.kind: {
                 "version": number, "code": told.code or "put-back", "path": told.path, "text": told.text,
             }})
-            logger.warning("control: {} says {} of {}: {} {}", told.proxy, told.kind, number, told.path,
-                           told.text)
+            logger.warning(
+                "control: {proxy} says {kind} of {version}: {path} {reason}", event="proxy-refuses",
+                proxy=told.proxy, kind=told.kind, version=number, path=told.path, reason=told.text
+            )
             if newest and self._rollout is not None:
                 self._rollout.refuse(told.proxy, told.code or "put-back", told.text)
 
@@ -293,7 +304,10 @@
         except FileNotFoundError:
             pass
         except (OSError, ValueError, KeyError, TypeError, AttributeError) as problem:
-            logger.warning("control: {} can't be read, the fleet is learned anew: {!r}", STATE, problem)
+            logger.warning(
+                "control: {file} can't be read, the fleet is learned anew: {problem!r}",
+                event="control-state-spoilt", file=STATE, problem=problem
+            )
 
     def _write_state(self) -> None:
         rollout = self._rollout
@@ -311,6 +325,9 @@
             self._disk.sync(STATE_NEW)
             self._disk.rename(STATE_NEW, STATE)
         except OSError as problem:
-            logger.warning("control: {} not written: {}", STATE, problem)
+            logger.warning(
+                "control: {file} not written: {problem}", event="control-state-unwritten", file=STATE,
+                problem=problem
+            )
             return
         self._state = text
--- a/capershelf/stream/stream.py
+++ b/capershelf/stream/stream.py
@@ -47,11 +47,14 @@
             keep = Keep(self._folder, self._base.name)
             kept, said = keep.load()
         except (BusyError, NewerError, OSError) as problem:
-            logger.warning("stream: {}; no version is read or kept there", problem)
+            logger.warning(
+                "stream: {problem}; no version is read or kept there", event="version-folder-unusable",
+                problem=problem
+            )
             self._folder.unlock()
             return None
         for line in said:
-            logger.warning("stream: {}", line)
+            logger.warning("stream: {problem}", event="version-set-aside", problem=line)
         self._keep = keep
         return kept
 
@@ -64,10 +67,16 @@
                 raise ValueError(str(offences[0]))
             self.config = configuration.read(takeover.merged(self._base.table, found), self._environ)
         except (ValueError, TypeError, KeyError, AttributeError) as problem:
-            logger.warning("stream: version {} that was kept can't be used: {}", kept.number, problem)
+            logger.warning(
+                "stream: version {version} that was kept can't be used: {problem}",
+                event="version-kept-unusable", version=kept.number, problem=problem
+            )
             return
         self._started = InForce(kept.number, kept.digest, found)
-        logger.info("stream: starts with version {}, kept {:.0f} s ago", kept.number, age_s)
+        logger.info(
+            "stream: starts with version {version}, kept {age_s:.0f} s ago", event="version-kept",
+            version=kept.number, age_s=age_s
+        )
 
     def start(self, host: Host) -> None:
         """Follow the control services from here on."""
--- a/lab/__main__.py
+++ b/lab/__main__.py
@@ -9,7 +9,7 @@
 import click
 from loguru import logger
 
-from lab import memory_cost, restart
+from lab import memory_cost, restart, stream, takeover
 
 
 @click.group()
@@ -52,5 +52,33 @@
         click.echo(json.dumps({"experiment": "memory-cost", "rows": rows}))
 
 
+@main.command("stream")
+@click.option("--proxies", "sizes", multiple=True, type=int, default=(1, 100, 1000), show_default=True)
+@click.option("--versions", default=10_000, show_default=True, help="For the look at memory.")
+@click.option("--seed", default=1, show_default=True)
+@click.option("--json", "as_json", is_flag=True, help="The result as one JSON object on the last line.")
+def stream_command(sizes: tuple[int, ...], versions: int, seed: int, as_json: bool) -> None:
+    """Versions from one service to many proxies, in virtual time."""
+    found = stream.experiment(sizes, versions, seed)
+    for line in stream.text_of(found):
+        click.echo(line)
+    if as_json:
+        click.echo(json.dumps(found))
+
+
+@main.command("takeover")
+@click.option("--pairs", default=5, show_default=True)
+@click.option("--seconds", default=10.0, show_default=True, help="For each run.")
+@click.option("--rate", default=200.0, show_default=True, help="Calls a second.")
+@click.option("--json", "as_json", is_flag=True, help="The result as one JSON object on the last line.")
+def takeover_command(pairs: int, seconds: float, rate: float, as_json: bool) -> None:
+    """What a version each second costs the calls, on loopback."""
+    logger.remove()
+    found = takeover.experiment(pairs, seconds, rate)
+    click.echo("\n".join(f"{name}: {value}" for name, value in found.items()))
+    if as_json:
+        click.echo(json.dumps(found))
+
+
 if __name__ == "__main__":
     main(prog_name="python -m lab")
--- a/lab/world.py
+++ b/lab/world.py
@@ -2,8 +2,8 @@
 
 A server has lines, held for as long as a call stands, and a processor with one line of work: each set-up,
 answer and release takes its share.  A set-up that waits there is sent again by the network at gaps that
-double, and each copy is work.  A processor that has just started is slow at first; in a slow spell it is slow
-for a while.  Past its bound it turns away.
+double, and each copy is work.  A processor that has just started is slow at first; in a slow spell it is
+slow for a while.  Past its bound it turns away.
 """
 
 from __future__ import annotations
--- a/tests/test_stream_running.py
+++ b/tests/test_stream_running.py
@@ -441,9 +441,14 @@
     connection = peers["abc".index(first)]
     connection.post(p.encode({"type": "ack", "epoch": 1, "version": 1, "digest": digest, "notes": []}))
     until(lambda: [offered(name) for name in heard].count(True) == 3)
-    found = json.loads(CliRunner().invoke(main, ["control", "status", str(tmp_path), "--json"]).output)
-    assert found["rollout"]["state"] == "stage 2 of 2"
-    assert found["proxies"][first]["has"] == "1.1"
+
+    def status() -> dict[str, Any]:
+        found = json.loads(CliRunner().invoke(main, ["control", "status", str(tmp_path), "--json"]).output)
+        assert isinstance(found, dict)
+        return found
+
+    until(lambda: status()["rollout"]["state"] == "stage 2 of 2")
+    assert status()["proxies"][first]["has"] == "1.1"
     assert "stage 2 of 2" in CliRunner().invoke(main, ["control", "status", str(tmp_path)]).output
 
 
