Read trusted keys anew for each connection, offer a version that was signed again, fuzz the stream

Need: keys must be changed and revoked without a restart; the issue's hard cases of a registry move, SIGTERM, hundreds of versions a second and a clock that steps over an expiry were not provoked yet. Change: the follower reads its key ring at each connection; a control service looks at the newest version's signature and offers it anew to who lacks it; tests of those cases; python -m lab fuzz for a longer run by hand.

--- a/capershelf/commands/control.py
+++ b/capershelf/commands/control.py
@@ -117,7 +117,7 @@
 @click.option("--key-name", default="", help="The key's name, as proxies have it; the file's if left out.")
 @click.option("--valid", default=30.0, show_default=True, help="Days that the signature holds.")
 def sign_command(folder: Path, number: str, sign_with: Path, key_name: str, valid: float) -> None:
-    """Sign version NUMBER (EPOCH.VERSION) once more; a service offers what it read at its start."""
+    """Sign version NUMBER (EPOCH.VERSION) once more; a running service offers the newest one anew."""
     try:
         epoch, version = number.split(".")
         published = read_version(folder, Number(int(epoch), int(version)))
--- a/capershelf/stream/follower.py
+++ b/capershelf/stream/follower.py
@@ -93,14 +93,15 @@
     """Runs until it is told to end."""
 
     def __init__(
-        self, settings: StreamSettings, base: Config, started: InForce, ring: KeyRing | None,
+        self, settings: StreamSettings, base: Config, started: InForce, ring: Callable[[], KeyRing | None],
         keep: Keep | None, host: Host, clock: Clock, release: str, environ: Mapping[str, str],
     ) -> None:
         self.inbox: Inbox[Opened | Line | Closed | Rebase | End] = Inbox(clock)
         self._settings, self._base, self._host, self._clock = settings, base, host, clock
         self._keep, self._environ = keep, environ
         ledger = Ledger(started.number, started.digest)
-        self._end = protocol.ProxyEnd(base.name, release, ledger, ring)
+        self._ring = ring
+        self._end = protocol.ProxyEnd(base.name, release, ledger, ring())
         self._end.base = started.document
         self._in_force, self._before = started, InForce()
         self._order = Order(settings.services, base.seed)
@@ -141,6 +142,7 @@
         host = address.rpartition(":")[0].strip("[]")
         now_ms = self._clock.now_ms()
         try:
+            self._end.ring = self._ring()  # keys may have come, gone or been revoked meanwhile
             context = self._identity.context(server=False) if self._settings.ca else None
             sock = connect(address, self._clock, now_ms + CONNECT_MS)
         except (OSError, ValueError) as problem:
--- a/capershelf/stream/service.py
+++ b/capershelf/stream/service.py
@@ -121,6 +121,7 @@
         self._before: protocol.Published | None = None
         self._unreadable: set[Number] = set()
         self._scan_ms = 0.0
+        self._stamp = 0  # of the newest version's signature
         self._state = ""
         self._read_state()
 
@@ -221,6 +222,7 @@
 
     # -- versions -------------------------------------------------------------------------------------
     def _scan(self) -> None:
+        self._look_at_signature()
         for number in versions_in(self._folder):
             newest = self._newest.number if self._newest is not None else Number(0, 0)
             if number <= newest or number in self._unreadable:
@@ -241,6 +243,30 @@
                 version=number, bytes=len(found.data)
             )
 
+    def _look_at_signature(self) -> None:
+        """The newest version may be signed once more: who does not have it yet is offered it again."""
+        if self._newest is None:
+            return
+        path = self._folder / f"{self._newest.number}.sig"
+        try:
+            stamp = path.stat().st_mtime_ns
+        except OSError:
+            return
+        if stamp == self._stamp:
+            return
+        self._stamp = stamp
+        try:
+            found = read_version(self._folder, self._newest.number)
+        except ValueError as problem:
+            logger.error("control: {problem}", event="control-problem", problem=problem)
+            return
+        if found.digest != self._newest.digest or found.signature == self._newest.signature:
+            return
+        self._newest = found
+        self._rollout = Rollout(found.number, self._plan, acked=self._rollout.acked if self._rollout else {})
+        for peer in self._peers.values():
+            peer.offered = ""
+
     def _advance(self, now_ms: float) -> None:
         if self._rollout is None or self._newest is None:
             return
--- a/capershelf/stream/stream.py
+++ b/capershelf/stream/stream.py
@@ -18,7 +18,7 @@
 from capershelf.stream import standing, takeover
 from capershelf.stream.follower import End, Follower, Host, InForce, Rebase
 from capershelf.stream.keep import Keep, Kept
-from capershelf.stream.signing import read_ring
+from capershelf.stream.signing import KeyRing, read_ring
 
 
 class Stream:
@@ -31,7 +31,7 @@
         assert base.stream is not None
         self._base, self._environ, self._settings = base, environ, base.stream
         self._clock = clock or SystemClock()
-        self._ring = read_ring(Path(base.stream.keys)) if base.stream.keys else None
+        self._read_ring()  # keys that can't be read are named before anything starts
         self._folder = Folder(Path(base.stream.folder)) if base.stream.folder else None
         self._keep: Keep | None = None
         self._follower: Follower | None = None
@@ -39,6 +39,9 @@
         if (kept := self._load()) is not None:
             self._begin_with(kept)
 
+    def _read_ring(self) -> KeyRing | None:
+        return read_ring(Path(self._settings.keys)) if self._settings.keys else None
+
     def _load(self) -> Kept | None:
         if self._folder is None:
             return None
@@ -81,8 +84,8 @@
     def start(self, host: Host) -> None:
         """Follow the control services from here on."""
         self._follower = Follower(
-            self._settings, self._base, self._started, self._ring, self._keep, host, self._clock, VERSION,
-            self._environ,
+            self._settings, self._base, self._started, self._read_ring, self._keep, host, self._clock,
+            VERSION, self._environ,
         )
         start_thread(self._follower.run, "stream")
 
--- a/lab/__main__.py
+++ b/lab/__main__.py
@@ -9,7 +9,7 @@
 import click
 from loguru import logger
 
-from lab import memory_cost, restart, stream, takeover
+from lab import fuzz, memory_cost, restart, stream, takeover
 
 
 @click.group()
@@ -80,5 +80,17 @@
         click.echo(json.dumps(found))
 
 
+@main.command("fuzz")
+@click.option("--conversations", default=20_000, show_default=True)
+@click.option("--seed", default=1, show_default=True)
+@click.option("--json", "as_json", is_flag=True, help="The result as one JSON object on the last line.")
+def fuzz_command(conversations: int, seed: int, as_json: bool) -> None:
+    """Break the stream's conversations; fails where an end raises or takes what nobody published."""
+    found = fuzz.experiment(conversations, seed)
+    click.echo(f"{found['messages']} messages in {conversations} conversations, seed {seed}: nothing wrong")
+    if as_json:
+        click.echo(json.dumps({"experiment": "fuzz"} | found))
+
+
 if __name__ == "__main__":
     main(prog_name="python -m lab")
--- a/tests/test_stream_running.py
+++ b/tests/test_stream_running.py
@@ -17,6 +17,7 @@
 from cryptography import x509
 from cryptography.hazmat.primitives import hashes, serialization
 from cryptography.hazmat.primitives.asymmetric import ec
+from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
 from loguru import logger
 
 from capershelf import config as configuration
@@ -30,12 +31,14 @@
 from capershelf.stream import follower
 from capershelf.stream import protocol as p
 from capershelf.stream.keep import Keep
-from capershelf.stream.ledger import Number
+from capershelf.stream.ledger import Ledger, Number
 from capershelf.stream.rollout import Plan
 from capershelf.stream.service import ControlService, End, versions_in
+from capershelf.stream.signing import Key, KeyRing, sign
 from capershelf.stream.stream import Stream
 from tests.peers import OPERATOR, PATIENCE_S
 from tests.test_memory_running import Answering, Load, free_port
+from tests.test_reload import BoardStandIn
 from tests.test_stream_decisions import OWN, changed
 
 CLOCK = SystemClock()
@@ -301,6 +304,20 @@
     push(folder, attempts(5), "--sign-with", str(keys / "ours.key"))
     service.wait("has", "1.5")
     assert proxy.attempts == 5
+    push(folder, attempts(3), "--sign-with", str(keys / "theirs.key"))
+    service.wait("refuse", "1.6")
+    signed = run.invoke(main, ["control", "sign", str(folder), "1.6", "--sign-with", str(keys / "ours.key")])
+    assert signed.exit_code == 0
+    service.wait("has", "1.6")  # the same text, signed soundly
+    trusted = tmp_path / "trusted" / "ours.pub"
+    trusted.write_text(trusted.read_text() + "revoked\n")
+    for peer in list(service.service._peers.values()):
+        peer.connection.close()  # keys are read anew for each connection
+    until(lambda: not service.service._peers)
+    service.wait("connected", True)
+    push(folder, attempts(2), "--sign-with", str(keys / "ours.key"))
+    service.wait("refuse", "1.7")
+    assert service.proxy()["refuse"]["code"] == "revoked-key"
     (keys / "ours.key").chmod(0o644)
     (folder / "next.txt").write_text("{}")
     found = run.invoke(main, ["control", "push", str(folder), str(folder / "next.txt"), "--sign-with",
@@ -478,3 +495,64 @@
     assert found.exit_code == 1
     assert "settings.family-info.release" in found.output
     assert "[release-gap]" in found.output
+
+
+def test_a_version_moves_the_registry_and_one_that_comes_at_the_end_is_not_taken(
+    tmp_path: Path, ends: list[Any]
+) -> None:
+    old, new = BoardStandIn(), BoardStandIn()
+    service = Service(tmp_path)
+    ends.append(service)
+    proxy = Proxy({"services": [service.address]}, board=old.address, known={"rev": 3, "notices": []})
+    ends.append(proxy)
+    assert old.poll() == "3"
+    push(tmp_path, {"board": new.address})
+    service.wait("has", "1.1")
+    assert new.poll({"rev": 9, "notices": []}) == "3"  # the numbering goes on
+    assert new.poll() == "9"
+    proxy.node._stopping.set()  # as at SIGTERM, before the stream is told of its end
+    push(tmp_path, attempts(2))
+    until(lambda: service.proxy().get("connected") is False)
+    assert proxy.attempts == 6
+    assert service.proxy()["has"] == "1.1"
+
+
+def test_hundreds_of_versions_a_second_end_with_the_newest(tmp_path: Path, ends: list[Any]) -> None:
+    service = Service(tmp_path)
+    ends.append(service)
+    proxy = Proxy({"services": [service.address]})
+    ends.append(proxy)
+    for number in range(1, 400):
+        (tmp_path / "next").write_bytes(json.dumps(attempts(1 + number % 5)).encode())
+        (tmp_path / "next").rename(tmp_path / f"1.{number}.json")
+    service.wait("has", "1.399")
+    assert proxy.attempts == 1 + 399 % 5
+
+
+def test_a_clock_that_steps_over_an_expiry_lets_nothing_old_in_and_keeps_what_is_in_force() -> None:
+    private = Ed25519PrivateKey.generate()
+    ring = KeyRing((Key("k", private.public_key()),))
+    one = p.Published.of(Number(1, 1), attempts(4))
+    one = p.Published.of(one.number, one.document, sign(private, "k", one.number, one.digest, 1000.0))
+    two = p.Published.of(Number(1, 2), attempts(3))
+    two = p.Published.of(two.number, two.document, sign(private, "k", two.number, two.digest, 1000.0))
+    mine, theirs = p.ProxyEnd("p", "r", Ledger(), ring), p.ServiceEnd(p.Shelf())
+    mine.connected("s")
+    mine.receive({"type": "welcome", "speaks": 1}, 999.0)
+    theirs.receive({"type": "hello", "proxy": "p", "speaks": [1]})
+
+    def tell(published: p.Published, now_ms: float) -> list[p.Step]:
+        found: list[p.Step] = []
+        for step in theirs.offer(published):
+            assert isinstance(step, p.Say)
+            for asked in mine.receive(step.message, now_ms):
+                found.append(asked)
+                for part in theirs.receive(asked.message) if isinstance(asked, p.Say) else ():
+                    found += mine.receive(part.message, now_ms) if isinstance(part, p.Say) else []
+        return found
+
+    arrived = next(step for step in tell(one, 999.0) if isinstance(step, p.Arrived))
+    mine.taken(arrived, ())
+    assert [step.code for step in tell(two, 1001.0) if isinstance(step, p.Refusing)] == ["expired"]
+    assert mine.ledger.good == Number(1, 1)
+    assert any(isinstance(step, p.Arrived) for step in tell(two, 998.0))  # the clock is set back: sound again
