Say which extra holds a library that a configuration or command needs

Seen as a new user: with only what `run` needs installed, a [memory] or [stream] table ended `serve` in a traceback, and `control` named an extra that does not exist.

--- a/capershelf/cli.py
+++ b/capershelf/cli.py
@@ -23,6 +23,7 @@
 GROUPS = {  # imported only when asked for: `serve` pays for none
     "memory": "capershelf.commands.memory", "control": "capershelf.commands.control",
 }
+EXTRAS = {"memory": "memory", "control": "stream"}  # of this package, which hold their libraries
 
 
 class Commands(click.Group):
@@ -40,7 +41,7 @@
             if problem.name is not None and problem.name.startswith("capershelf"):
                 raise
             raise click.ClickException(
-                f"{name} needs {problem.name}, which is not installed (the extra {name!r} of this package)"
+                f"{name} needs {problem.name}, which is not installed: the extra {EXTRAS[name]!r} has it"
             ) from problem
         assert isinstance(command, click.Command)
         return command
@@ -77,6 +78,10 @@
         node = Node(stream.config if stream is not None else config)
     except (ValueError, OSError) as problem:
         raise click.ClickException(str(problem)) from problem
+    except ModuleNotFoundError as problem:
+        raise click.ClickException(
+            f"the configuration turns on what needs {problem.name}: the extras 'memory' and 'stream' have it"
+        ) from problem
     node.start()
     if stream is not None:
         stream.start(node)
