Test on loopback that a server started since is sent no more than a cold one

Change: the third start of the serve-to-serve test lists one server as started just now and goes on under load.

--- a/tests/test_memory_running.py
+++ b/tests/test_memory_running.py
@@ -370,3 +370,11 @@
     second.process.wait()
     third = start((1_700_000_000_000.0, time.time() * 1000.0))
     third.says("1 servers start from what was known")
+    before = [sum(one.calls.values()) for one in servers]
+    load = Load(port)
+    while sum(servers[0].calls.values()) < before[0] + 40:
+        time.sleep(0.005)
+    # Half of the calls are for the cold one first; it is sent what a cold one may be, not what it did before.
+    assert sum(servers[1].calls.values()) - before[1] < 20
+    load.end()
+    assert {len(load.outcomes[call]) for call in load.taken} == {1}
