Keep what callers ask of a proxy when a server is recalled later

Seen on reading the change: a second list that named one more remembered server sent the module Recalled with 0 first tries a second, which wiped out the figure recalled at the start. Cause: Keeper.listed gave the figure with the first list only, while the module goes by the newest it is told. Change: the keeper gives it each time, faded as the module fades it. Checked: the test of a later list fails without the change; 41 tests of the memory pass, style and types clean.

--- a/capershelf/memory/keeper.py
+++ b/capershelf/memory/keeper.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -14,6 +15,7 @@
 from immutables import Map
 from loguru import logger
 
+from capershelf.control import RATE_MS
 from capershelf.core import model as m
 from capershelf.interface import LearnedServer, Recalled, Standing
 from capershelf.memory.ageing import Clocks, HalfLives, age_asked, age_server, part_of, way_only, weight
@@ -61,6 +63,7 @@
         self._touched: dict[str, None] = {}  # in the order of touching
         self._large = self._new = False
         self._last: Snapshot | None = None
+        self._asked_before, self._began_ms = 0.0, 0.0
         self._asked_per_s = 0.0
         self._ending = False
 
@@ -91,11 +94,13 @@
                 "memory: {count} servers start from what was known; listed: {listed}",
                 event="memory-recalled", count=len(known), listed=said
             )
-        asked = 0.0
         if self._first:
-            asked = age_asked(self._book, clocks, self._terms.lives, self._terms.most_age_ms,
-                              self._terms.planners)
-        self._first = False
+            self._first, self._began_ms = False, now_ms
+            self._asked_before = age_asked(self._book, clocks, self._terms.lives, self._terms.most_age_ms,
+                                           self._terms.planners)
+        # The module goes by the newest figure it is told and lets it fade: a server that is listed a little
+        # later must neither wipe out what callers ask here nor make it new.
+        asked = self._asked_before * math.exp((self._began_ms - now_ms) / RATE_MS)
         return Recalled(asked, tuple(known)) if known or asked else None
 
     def _carried(
