Refuse one folder for memory and stream, which would lock each other out

Seen on reading the change: both lock their folder; with the same one the stream found it held, as it says by another process, and started without the last good version it had kept. Change: such a configuration is refused with the reason, at a start, at SIGHUP and by check-config.

--- a/capershelf/config.py
+++ b/capershelf/config.py
@@ -140,6 +140,11 @@
             _number(eu, "eureka.", "fetch", 5000.0), _number(eu, "eureka.", "renew", 30000.0),
         )
     memory = read_memory(table["memory"]) if "memory" in table else None
+    stream = read_stream(table["stream"]) if "stream" in table else None
+    if memory is not None and stream is not None and stream.folder and (
+        Path(memory.folder).resolve() == Path(stream.folder).resolve()
+    ):
+        raise ValueError("memory.folder and stream.folder must be two: each is locked by its owner")
     if eureka is not None and table.get("board"):
         raise ValueError("board and eureka are both set: one registry lists the booking servers")
     known = {"name", "listen", "seed", "limits", "board", "known", "settings", "planners", "websocket",
@@ -158,7 +163,7 @@
         websocket=websocket,
         eureka=eureka,
         memory=memory,
-        stream=read_stream(table["stream"]) if "stream" in table else None,
+        stream=stream,
         table=table,
         unread=tuple(sorted(set(table) - known)),
     )
--- a/tests/test_memory_running.py
+++ b/tests/test_memory_running.py
@@ -168,6 +168,13 @@
         configuration.read(table("") | {"memory": changes}, {})
 
 
+def test_memory_and_stream_do_not_share_a_folder() -> None:
+    """They would lock each other out, and the proxy start without what it had kept."""
+    both = {"memory": {"folder": "x"}, "stream": {"services": ["127.0.0.1:1"], "folder": "./x"}}
+    with pytest.raises(ValueError, match="must be two"):
+        configuration.read(table("") | both, {})
+
+
 def test_off_it_costs_no_import() -> None:
     """Neither `serve` nor the command line loads what belongs to the memory."""
     code = "import sys, capershelf.cli; print([n for n in sys.modules if n.split('.')[0] in " \
