--- a/capershelf/config.py
+++ b/capershelf/config.py
@@ -226,6 +226,7 @@
     bounds, contract = _need(info, "", "bounds"), _need(info, "", "contract")
     places = family.get("pools-by-class") or []
     widths = family.get("channels-needed") or []
+    lengths = family.get("call-length") or []
     classes = []
     for index, entry in enumerate(_need(info, "", "categories")):
         path = f"categories[{index}]."
@@ -238,6 +239,7 @@
                 late_worth=_number(entry, path, "late-worth", 0.0),
                 places=tuple(places[index]) if index < len(places) else None,
                 width=int(widths[index]) if index < len(widths) else 1,
+                hold_ms=_number({"": lengths[index]}, path, "") if index < len(lengths) else None,
             )
         )
     telemetry = info.get("telemetry") or {}
--- a/capershelf/control.py
+++ b/capershelf/control.py
@@ -13,9 +13,10 @@
 
 from capershelf.interface import (
     Action, AttemptOver, CallClass, CallerGone, Cancel, Event, Fail, LearnedServer, ListedServer, Log,
-    NewCall, NewSettings, Probe, Recalled, Refuse, Report, Result, Send, ServerList, ServerReport, SetTimer,
-    Settings, Standing, Stands, TimerFired, WayMended, Why,
+    NewCall, NewSettings, Probe, Recalled, Refuse, Report, Result, Send, ServerList, ServerReport,
+    SetTimer, Settings, Standing, Stands, TimerFired, WayMended, Why,
 )
+from capershelf.sight import RATE_MS, Quotas, Rate, Sight, Terms
 
 # The detector, as the paper and the design page have it.
 RATIO = 1.2  # sent over answered above this, judged each interval, sets the overload flag
@@ -32,6 +33,7 @@
 DEAR_FACTOR = 1.6  # calls of more than usual worth may join a wait so much longer
 POOR_FACTOR = 0.5  # calls of little worth only one so much shorter
 NEWS_WEIGHT = 0.6  # weight of the newest answer in the seen wait
+FADE_MS = 1500.0  # in which a wait is forgotten, where the server's load is seen otherwise
 # Holding.
 HOLD_SHARE = 0.55  # a call is held no longer than this share of its aim
 LATE_HOLD_MS = 400.0  # and when its aim is past, or it is worth little, no longer than this
@@ -46,6 +48,8 @@
 # Silence.
 SILENT_FACTOR = 2.0  # times the wait threshold, plus a usual answer time: no answer for so long is silence
 OVERTAKEN = 0.5  # wait thresholds by which a set-up must have been sent sooner to be overtaken
+ELSEWHERE = 0.5  # wait thresholds that most servers must wait for a slow one's set-ups to be left to it
+PULSES = 1.8  # pulses of which one must have come from a server that lives
 SLOW_FACTOR = 3.0  # usual answer times to add: a small server answers a sender but seldom
 ERRORS = 8  # numbers that failed at a server with no success between: the server is failing.  One that fails
 # two in five seldom has so many; what it does answer is worth more than what the others have no room for.
@@ -55,6 +59,7 @@
 MOST_GAPS = 8.0  # and no more than these;
 SILENT_GAPS = 3.0  # a silent one after so many at least,
 TRIAL_MS = 1000.0  # and no sooner; probes of a server are no closer either
+PROBES_S = 8.0  # probes a second that a server gets from all senders together, at the most
 STALL_MS = 150.0  # own pauses: a timer so late tells that this gateway itself stood still,
 WARY_MS = 10000.0  # which it may do again for so long;
 PULSE_MS = 100.0  # a timer this often notices it
@@ -62,8 +67,6 @@
 SURE_SENDS = 4.0  # set-ups a window that a server can do, whoever knows nothing, from all gateways together
 PROOF = 3  # own answers of a cold server in a window that tell what it can do; fewer are chance
 ASKED_SHARE = 0.4  # share of what is asked for that the servers can surely do, at the worst load and burst
-LEAST_SPAN_MS = 3000.0  # a rate is never read over less
-RATE_MS = 10000.0  # rates are averages that fade in so long
 BEST_MS = 60000.0  # and the best of the answered rate in so long
 GONE_MS = 60000.0  # a server that is gone is remembered so long: one that comes back is taken for cold
 # Worth.
@@ -73,7 +76,6 @@
 NUMBERS = 4000  # numbers that are remembered in any case
 BUSY_MS = 5000.0  # a number whose lines were all busy is taken to be so for this long
 BUSY_WORTH = 0.1  # worth of a call to such a number, of its class's
-QUOTA_SLACK = 1.3  # a tenant is beyond its share above so many times what the others' traffic suggests
 MANY = 60  # held calls above which only the tick looks at all of them
 TICK_MS = 25.0  # the controller looks at ageing calls this often
 LOG_MS = 5000.0  # one line of a kind for a server in this time
@@ -100,29 +102,6 @@
         self.give_up_ms = self.timeout_ms = math.inf  # the latter of its last attempt
 
 
-class Rate:
-    """Events for each ms, as an average that fades in RATE_MS."""
-
-    def __init__(self) -> None:
-        self.count = 0.0
-        self.at_ms = self.began_ms = math.nan
-
-    def add(self, now_ms: float) -> None:
-        if math.isnan(self.at_ms):
-            self.at_ms = self.began_ms = now_ms
-        self.count = 1.0 + self.faded(now_ms)
-        self.at_ms = now_ms
-
-    def faded(self, now_ms: float) -> float:
-        return self.count * math.exp((self.at_ms - now_ms) / RATE_MS)
-
-    def value(self, now_ms: float) -> float:
-        if math.isnan(self.at_ms):
-            return 0.0
-        span_ms = RATE_MS * (1.0 - math.exp((self.began_ms - now_ms) / RATE_MS))
-        return self.faded(now_ms) / max(LEAST_SPAN_MS, span_ms)
-
-
 class Gate:
     """Detector and gate of one server for this sender, with the server's judged state."""
 
@@ -138,8 +117,9 @@
         self.ratio_high = self.flagged = self.silent = False
         self.out: dict[int, Call] = {}  # in the order of sending
         self.overtaken_ms = overtaken_ms
+        self.told_ms = self.pulse_ms = -math.inf  # when it last told its state unasked, and the usual gap
         self.passed_ms = -math.inf  # when the latest of the set-ups that it has answered was sent
-        self.seen_wait_ms = 0.0
+        self.seen_wait_ms, self.fade_ms = 0.0, math.inf
         self.base_ms = math.inf  # least answer time seen: the way there and back and an idle processor
         self.seen_at_ms = self.heard_ms = self.tried_ms = self.probed_ms = -math.inf
         self.usual_rate = 0.0  # answers a ms before this start, where that is remembered
@@ -185,8 +165,13 @@
         The age counts from since_ms, when this sender last woke: its own pause is not the server's."""
         if (call := self.oldest()) is not None:
             base_ms = self.base_ms if self.base_ms < math.inf else 0.0
-            return max(self.seen_wait_ms, now_ms - max(call.sent_ms, since_ms) - base_ms)
-        return self.seen_wait_ms
+            return max(self.seen(now_ms), now_ms - max(call.sent_ms, since_ms) - base_ms)
+        return self.seen(now_ms)
+
+    def seen(self, now_ms: float) -> float:
+        """The wait last seen; it fades where what all senders ask of the server is known."""
+        return self.seen_wait_ms * (1.0 if self.fade_ms == math.inf else math.exp(
+            min(0.0, self.seen_at_ms - now_ms) / self.fade_ms))
 
     def overtaken(self, call: Call) -> bool:
         """Whether one sent well after it was answered: its own answer is lost, or another's business.
@@ -207,9 +192,20 @@
         if not self.flagged:
             self.ratio_high = False
 
+    def pulse(self, now_ms: float) -> None:
+        """It has told its state unasked: its process runs and its way is whole."""
+        gap_ms = now_ms - self.told_ms
+        if PULSE_MS <= gap_ms < math.inf:
+            self.pulse_ms = gap_ms if self.pulse_ms < 0.0 else self.pulse_ms + 0.3 * (gap_ms - self.pulse_ms)
+        self.told_ms = now_ms
+
+    def lives(self, now_ms: float) -> bool:
+        """Whether its last pulse is no older than that it can be the latest."""
+        return now_ms - self.told_ms < PULSES * self.pulse_ms
+
     def news(self, now_ms: float, wait_ms: float, weight: float) -> None:
         """A wait told by an answer or a report."""
-        self.seen_wait_ms += weight * (max(0.0, wait_ms) - self.seen_wait_ms)
+        self.seen_wait_ms = self.seen(now_ms) + weight * (max(0.0, wait_ms) - self.seen(now_ms))
         self.seen_at_ms = now_ms
 
 
@@ -219,8 +215,8 @@
     def __init__(self, settings: Settings, seed: int) -> None:
         self.random = random.Random(seed)
         self.gates: dict[str, Gate] = {}
-        self.rates: dict[str, float] = {}
-        self.buckets: dict[str, float] = {}
+        self.quotas = Quotas(settings.gateway_count)
+        self.sight = Sight()
         self.adopt(settings)
         self.version = -1
         self.calls: dict[int, Call] = {}
@@ -228,7 +224,6 @@
         self.first_asked: dict[str, float] = {}
         self.busy_until: dict[str, float] = {}
         self.most_numbers = NUMBERS  # in first_asked, before the old ones are looked for
-        self.rated_ms = 0.0
         self.now_ms = self.judge_at_ms = -math.inf
         self.timer_ms = math.inf  # when the earliest timer asked for is due
         self.woke_ms = -math.inf  # when this gateway last found that it had stood still
@@ -236,9 +231,7 @@
         self.best_rate = 0.0
         self.recalled: dict[str, LearnedServer] = {}  # of servers that no list has named yet
         self.asked_before, self.recalled_ms = 0.0, 0.0
-        self.most_servers = 1
-        self.most_lines = 0.0  # of all active servers together, at most
-        self.least_lines, self.at_place = 0.0, dict[int, list[Gate]]()  # of those whose lines are known
+        self.at_place: dict[int, list[Gate]] = {}
         self.actions: list[Action] = []
 
     def adopt(self, settings: Settings) -> None:
@@ -248,15 +241,16 @@
         self.classes = {kind.name: kind for kind in settings.classes}
         self.least_worth = min(kind.worth for kind in settings.classes)
         resend_ms = settings.resend_ms if settings.resend_ms > 0 else math.inf
-        self.limit_ms = WAIT_SHARE * min(1.5 * resend_ms, *(kind.aim_ms for kind in settings.classes))
+        aim_ms = min(kind.aim_ms for kind in settings.classes)
+        self.limit_ms = WAIT_SHARE * min(1.5 * resend_ms, aim_ms)
+        self.sight.terms = Terms(aim_ms, settings.cold_from, settings.ramp_ms)
         # Times that belong to the aims are written for one limit, and go with that of the settings.
         self.scale = self.limit_ms / WRITTEN_FOR_MS
+        self.ask_ms = max(self.scale * TRIAL_MS, settings.gateway_count * 1000.0 / PROBES_S)
         self.pace_ms, self.trial_ms = self.scale * PACE_MS, self.scale * TRIAL_MS
         for gate in self.gates.values():
             gate.overtaken_ms = OVERTAKEN * self.limit_ms
-        self.quotas = {tenant.name: tenant.quota_per_s for tenant in settings.tenants}
-        self.rates = {name: self.rates.get(name, 0.0) for name in self.quotas}
-        self.buckets = {name: self.buckets.get(name, 3.0) for name in self.quotas}
+        self.quotas.adopt({tenant.name: tenant.quota_per_s for tenant in settings.tenants})
 
     def handle(self, now_ms: float, event: Event) -> list[Action]:
         """Take one event; the host carries the actions out in their order."""
@@ -277,8 +271,11 @@
             case ServerList():
                 self.follow_list(event)
             case ServerReport():
+                gate = self.gates.get(event.server)
                 if event.result is Result.OK:
-                    self.take_report(self.gates.get(event.server), event.report)
+                    self.take_report(gate, event.report)
+                if gate is not None and not event.probe:
+                    gate.pulse(now_ms)
             case WayMended():
                 if (gate := self.gates.get(event.server)) is not None and not gate.errors:
                     gate.silent, gate.seen_wait_ms, gate.pressed_ms = False, 0.0, -math.inf
@@ -315,6 +312,9 @@
         call = Call(event, kind, self.now_ms)
         self.calls[call.id] = self.held[call.id] = call
         self.rate_worth(call, event.tenant)
+        self.sight.call(kind.hold_ms, call.weight, call.worth)
+        if self.sight.refused(self.now_ms, call.worth, drawn(call, 0)):
+            self.answer(call, Refuse(call.id))
 
     def out_at(self, gate: Gate | None, event: Stands | AttemptOver) -> Call | None:
         """The call whose attempt the event tells of; None for what is late, repeated or unknown."""
@@ -331,6 +331,7 @@
         gate.base_ms = min(gate.base_ms, event.wait_ms)
         if self.woke_ms < self.now_ms or event.wait_ms - gate.base_ms <= self.limit_ms:
             gate.news(self.now_ms, event.wait_ms - gate.base_ms, NEWS_WEIGHT)
+            self.sight.waited(self.now_ms, gate.id, event.wait_ms - gate.base_ms)
         gate.heard_ms = self.now_ms
         gate.passed_ms = max(gate.passed_ms, call.sent_ms)
         gate.answered_at.append(self.now_ms)
@@ -362,7 +363,9 @@
         self.take_back(call, gate)
         if event.result in (Result.TIMEOUT, Result.CANCELLED) and not gate.overtaken(call):
             # At least so long; not longer than it was given, whenever this gateway came to see it.
-            gate.seen_wait_ms = max(gate.seen_wait_ms, min(self.now_ms - call.sent_ms, call.timeout_ms))
+            gate.seen_wait_ms = max(gate.seen(self.now_ms), min(self.now_ms - call.sent_ms, call.timeout_ms))
+            gate.seen_at_ms = self.now_ms
+            self.sight.waited(self.now_ms, gate.id, self.now_ms - call.sent_ms)
         if event.result in (Result.TIMEOUT, Result.RESET, Result.CANCELLED):
             call.ready_ms = self.now_ms + self.settings.release_ms
             # It was out, not held: what is left of its aim after the release is worth a try.
@@ -434,6 +437,7 @@
                 rank = zlib.crc32(f"{self.settings.gateway_no}/{listed.server}".encode())
                 self.gates[listed.server] = gate = Gate(listed, rank, OVERTAKEN * self.limit_ms)
                 gate.cold_ms, gate.cold_turn = self.now_ms, self.random.random()
+                gate.probed_ms = self.now_ms - self.random.random() * self.ask_ms
                 if (learned := self.recalled.pop(gate.id, None)) is not None:
                     gate.recall(learned)
                 continue
@@ -450,23 +454,18 @@
             gate.gone_ms = min(gate.gone_ms, self.now_ms) if gone else math.inf
         kept = (g for g in self.gates.values() if g.out or self.now_ms - g.gone_ms < GONE_MS)
         self.gates = {gate.id: gate for gate in sorted(kept, key=lambda gate: gate.rank)}
-        active = sum(1 for gate in self.gates.values() if gate.standing is Standing.ACTIVE)
-        self.most_servers = max(self.most_servers, active)
+        self.sight.list((g.id, g.standing is Standing.ACTIVE, g.started_ms) for g in self.gates.values())
         self.at_place = {}
         for gate in self.gates.values():
             self.at_place.setdefault(gate.place, []).append(gate)
-        self.least_lines = min((g.lines for g in self.gates.values() if g.lines > 0), default=0.0)
 
     def take_report(self, gate: Gate | None, report: Report | None) -> None:
         if gate is None or report is None:
             return
         if report.free_lines is not None:
-            gate.free_lines = report.free_lines
-            if report.lines is not None and report.lines != gate.lines:
-                gate.lines = report.lines
-                active = (g.lines for g in self.gates.values() if g.standing is Standing.ACTIVE)
-                self.most_lines = max(self.most_lines, sum(active))
-                self.least_lines = min((g.lines for g in self.gates.values() if g.lines > 0), default=0.0)
+            gate.free_lines, gate.lines = report.free_lines, report.lines or gate.lines
+        self.sight.told(self.now_ms, gate.id, report.free_lines, report.lines, report.takes_per_s)
+        gate.fade_ms = self.scale * FADE_MS if self.sight.known(gate.id) else math.inf
         if report.wait_ms is not None:
             gate.news(self.now_ms, report.wait_ms, NEWS_WEIGHT)
 
@@ -483,7 +482,7 @@
             call.worth *= call.kind.late_worth
         if self.busy_until.get(call.number, -math.inf) > self.now_ms:
             call.worth *= BUSY_WORTH
-        if tenant is not None and self.beyond_quota(tenant):
+        if tenant is not None and self.quotas.beyond(self.now_ms, tenant):
             call.worth *= self.settings.over_quota_worth
         hold_ms = HOLD_SHARE * call.kind.aim_ms
         if call.worth < POOR * self.least_worth or call.aim_at_ms <= self.now_ms:
@@ -496,24 +495,6 @@
             # Guards against a look at every number at every call, where so many are young.
             self.most_numbers = max(NUMBERS, 2 * len(self.first_asked))
 
-    def beyond_quota(self, tenant: str) -> bool:
-        """Whether a tenant's call is beyond its share, by what this gateway's other traffic suggests."""
-        if tenant not in (quotas := self.quotas):
-            return False
-        elapsed_s = (self.now_ms - self.rated_ms) / 1000.0
-        self.rated_ms = self.now_ms
-        self.rates = {name: rate * math.exp(-elapsed_s / 4.0) for name, rate in self.rates.items()}
-        self.rates[tenant] += 0.25
-        others = sum(rate for name, rate in self.rates.items() if name != tenant)
-        others_quota = sum(quota for name, quota in quotas.items() if name != tenant)
-        part = max(1.0 / self.settings.gateway_count, others / others_quota if others_quota > 0 else 0.0)
-        for name, quota in quotas.items():
-            allowed = quota * part * QUOTA_SLACK
-            self.buckets[name] = min(3.0 * max(1.0, allowed), self.buckets[name] + elapsed_s * allowed)
-        within = self.buckets[tenant] >= 1.0
-        self.buckets[tenant] -= within
-        return not within
-
     # -- routing and admission ------------------------------------------------------------------------
     def turn(self, event: Event) -> None:
         """After each event: judge, place held calls, give up on the aged, look at silence, arm the timer."""
@@ -587,7 +568,7 @@
         if gate.standing is not Standing.ACTIVE or gate.out or not (gate.flagged or gate.silent):
             return False
         gap_ms = 1.0 / max(1e-9, self.part(gate) * self.asked_rate())
-        gaps = min(MOST_GAPS, TRIAL_GAPS * (gate.seen_wait_ms / self.limit_ms) ** 2)
+        gaps = min(MOST_GAPS, TRIAL_GAPS * (gate.seen(self.now_ms) / self.limit_ms) ** 2)
         pause_ms = max(self.trial_ms, gap_ms * max(SILENT_GAPS, gaps)) if gate.silent else gap_ms * gaps
         return self.now_ms - gate.tried_ms >= pause_ms
 
@@ -597,16 +578,18 @@
         return max(before, self.asked.value(self.now_ms))
 
     def part(self, gate: Gate) -> float:
-        """The server's part of what all can do, by its lines: those who plan give it both in proportion.
-        Guards against small servers crushed by calls led around to them as if all were of one size."""
-        lines = gate.lines or self.least_lines
-        return lines / self.most_lines if lines > 0 else 1.0 / self.most_servers
+        """The server's part of what all can do.  Guards against small servers crushed by calls led around to
+        them as if all were of one size."""
+        return self.sight.share(gate.id)
 
     def watch(self, gate: Gate, clear: Gate | None) -> Gate | None:
         """Take a server for silent when set-ups go unanswered (hung, stopped, cut off); clear: any such."""
         self.look(gate)
         base_ms = gate.base_ms if gate.base_ms < math.inf else self.limit_ms
         silent_ms = SILENT_FACTOR * self.limit_ms + SLOW_FACTOR * base_ms
+        if gate.lives(self.now_ms) and self.sight.wait_ms(self.now_ms) > ELSEWHERE * self.limit_ms:
+            # It is slow, not silent, and so are the others: what waits is answered sooner than if sent again.
+            silent_ms = max(silent_ms, self.sight.terms.aim_ms)
         oldest_ms = call.sent_ms if (call := gate.oldest()) is not None else self.now_ms
         silence = self.now_ms - max(oldest_ms, gate.heard_ms, self.woke_ms) > silent_ms
         if silence and not gate.silent:
@@ -636,10 +619,10 @@
             and (call.kind.places is None or gate.place in call.kind.places)
             and (gate.free_lines is None or gate.free_lines >= call.weight)
             # Not where its caller will not stay for the answer; one who stays a while may try any server.
-            and min(gate.seen_wait_ms, STAY * self.limit_ms) < call.expires_ms - self.now_ms
+            and min(gate.seen(self.now_ms), STAY * self.limit_ms) < call.expires_ms - self.now_ms
             # Late redials and others of little worth leave what is pressed, and the last lines, alone.
             and (call.worth >= POOR * self.least_worth or (
-                gate.seen_wait_ms <= POOR_FACTOR * self.limit_ms
+                gate.seen(self.now_ms) <= POOR_FACTOR * self.limit_ms
                 and (gate.free_lines is None or gate.free_lines >= KEPT_LINES * gate.lines)
             ))
         )
@@ -647,30 +630,31 @@
     def way(self, call: Call, gate: Gate) -> float:
         """Where the server stands among the call's ways round, least first; drawn once, by size and room: no
         herd, no crowd at small servers.  Without sizes the draw is the sender's: its hash order."""
-        drawn = (zlib.crc32(b"%d/%d" % (call.id, gate.rank)) + 1) / 2**32
-        if self.most_lines <= 0:
-            drawn = 1.0 - gate.rank / 2**32
-        return -math.log(drawn) / (self.part(gate) * max(0.05, 1.0 - gate.seen_wait_ms / self.limit_ms))
+        lot = drawn(call, gate.rank) if self.sight.most_lines > 0 else 1.0 - gate.rank / 2**32
+        room = max(0.05, 1.0 - gate.seen(self.now_ms) / self.limit_ms)
+        return -math.log(lot) / max(1e-9, self.sight.weight(self.now_ms, gate.id) * room)
 
     def place(self, call: Call, clear: dict[str, Gate] | None = None) -> Gate | None:
         """Send the call to its first choice if that is clear, else to another clear server (of these)."""
         if self.now_ms < call.ready_ms:
             return None
+        first = None
         for gate in self.at_place.get(call.far_end, ()):
             if self.takes(gate, call) and (clear is None or gate.id in clear):
                 if self.open(gate):
+                    if drawn(call, gate.rank) > self.sight.chance(self.now_ms, gate.id):
+                        first = gate  # all together have more for it than it can do: this call goes round
+                        continue
                     return gate if self.send(call, gate) else None
                 if gate.flagged or gate.silent:
-                    stale = self.now_ms - max(gate.seen_at_ms, gate.probed_ms) > self.trial_ms
-                    if self.settings.may_probe and stale:  # only here would an answer change anything
-                        gate.probed_ms = self.now_ms
-                        self.actions.append(Probe(gate.id))
+                    if self.now_ms - gate.seen_at_ms > self.trial_ms:
+                        self.ask(gate)  # only here would an answer change anything
                     # A server that all calls are led around would stay flagged for want of answers.
                     if self.due(gate) and call.worth <= self.least_worth and self.send(call, gate):
                         return gate
         others = (self.gates if clear is None else clear).values()
         ways = [g for g in others if g.place != call.far_end and self.takes(g, call) and self.open(g)]
-        best = min(ways, key=lambda gate: self.way(call, gate), default=None)
+        best = min(ways, key=lambda gate: self.way(call, gate), default=first)
         return best if best is not None and self.send(call, best) else None
 
     def held_in_order(self) -> list[Call]:
@@ -743,6 +727,7 @@
         call.server, call.sent_ms, call.cancelled = gate.id, self.now_ms, False
         call.attempts += 1
         gate.out[call.id] = call
+        self.sight.out[call.id] = self.now_ms
         gate.outstanding += call.weight
         gate.in_load += call.weight
         gate.set_ups += 1
@@ -770,8 +755,15 @@
         gate.refresh_flag(self.now_ms, self.limit_ms, bool(self.held), self.woke_ms)
         return True
 
+    def ask(self, gate: Gate) -> None:
+        """Ask a server for its report, with what all senders ask of it so in mind: their times are spread."""
+        if self.settings.may_probe and self.now_ms - gate.probed_ms > self.ask_ms:
+            gate.probed_ms = self.now_ms
+            self.actions.append(Probe(gate.id))
+
     def take_back(self, call: Call, gate: Gate) -> None:
         gate.out.pop(call.id, None)
+        self.sight.out.pop(call.id, None)
         gate.outstanding = max(0.0, gate.outstanding - call.weight)
         call.server = None
 
@@ -795,6 +787,11 @@
             self.actions.append(Log(f"server {gate.id} {text}", gate.id))
 
 
+def drawn(call: Call, rank: int) -> float:
+    """The call's own lot for a server, over 0 to 1: the same each time it is asked for."""
+    return (zlib.crc32(b"%d/%d" % (call.id, rank)) + 1) / 2**32
+
+
 def check(settings: Settings) -> None:
     """ValueError that names the first setting that makes no sense."""
     names = ("gateway_count", "max_attempts", "ramp_ms", "fall_multiple", "fall_ms")
--- a/capershelf/interface.py
+++ b/capershelf/interface.py
@@ -21,6 +21,7 @@
     late_worth: float = 0.0
     places: tuple[int, ...] | None = None  # places whose servers may take it; None: any
     width: int = 1
+    hold_ms: float | None = None  # mean length of a call
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,11 +103,12 @@
     free_lines: float | None = None
     lines: float | None = None
     wait_ms: float | None = None
+    takes_per_s: float | None = None  # new set-ups a second that it can take from all senders together
 
     @classmethod
     def of(cls, figures: dict[str, float]) -> Report:
         """From the figures by their names on the wires; names that are unknown are passed over."""
-        return cls(figures.get("spare"), figures.get("total"), figures.get("recent_ms"))
+        return cls(*map(figures.get, ("spare", "total", "recent_ms", "allowed")))
 
 
 @dataclass(frozen=True, slots=True)
--- a/capershelf/memory/keeper.py
+++ b/capershelf/memory/keeper.py
@@ -15,13 +15,13 @@
 from immutables import Map
 from loguru import logger
 
-from capershelf.control import RATE_MS
 from capershelf.core import model as m
 from capershelf.interface import LearnedServer, Recalled, Standing
 from capershelf.memory.ageing import Clocks, HalfLives, age_asked, age_server, part_of, way_only, weight
 from capershelf.memory.records import Book, ServerRecord
 from capershelf.memory.schedule import large_change
 from capershelf.memory.trust import Verdict, judge_list
+from capershelf.sight import RATE_MS
 
 SWEEP_MS = 100.0  # between two looks at what was learned,
 A_SWEEP = 16  # of no more servers than this: some 0.1 ms
--- /dev/null
+++ b/capershelf/sight/fleet.py
@@ -0,0 +1,285 @@
+"""All booking servers as one sender sees them: their sizes, how pressed each is, and how pressed all are.
+
+What hundreds of senders see alike (lines told to all at once) sets shares, never a yes or no: each call has a
+draw of its own, so that all of them together send what a server can take, whatever their number.  Pure: times
+in milliseconds come in with each call.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from capershelf.sight.estimates import SPAN_MS, Flow, Size
+
+LEVEL = 0.5  # mean wait at the target load, of the least aim
+NOW_MS = 3000.0  # a telling stands so long, fading, before the usual size is believed again
+PRICE_MS = 4000.0  # the price rises and falls in so long for a load that is off by a factor e
+AT_ONCE = 1.0  # and at once by this part of it
+MOST_PRICE = 4.0  # natural logarithm: one call in 55
+LEAST_PRICE = -0.7  # a server with room gets up to twice its share of what is led around
+RESERVE = 1.5  # free lines below what comes in so many tellings are shared out,
+ENDING = 0.3  # and so much on top, for lines get free meanwhile
+HELD_MOST = 1.3  # a server's taken lines show it to be over its target by no more than this
+USUAL_TELL_MS = 1000.0
+POOLED_MS = 2000.0  # waits seen so lately tell how pressed all are,
+LEAST_WAITS, MOST_WAITS = 4, 31  # from so many on, and of no more
+SHED_FROM, SHED_OVER = 0.3, 0.7  # calls are shed from this wait on, in aims, and all of them so much later
+SHED_PART = 0.7
+SHED_ASKED = 0.7  # and by this part of what comes above what all can take
+MOST_SHED = 0.9
+LINES_ERROR = 0.35  # relative, of a size told by lines alone
+# A wait seen here: its price at the most, fading in so long, and what a short one leaves of it.
+OWN_MOST, OWN_MS, OWN_REST = 2.0, 6000.0, 0.4
+OWN_DOUBT = 0.2  # over this the lines of a server do not speak for it: those given up on free them, too
+LEAST_KNOWN = 0.5  # of all lines belong to servers whose size is known: less says nothing of all
+
+
+@dataclass(frozen=True, slots=True)
+class Terms:
+    """What the settings tell of times."""
+
+    aim_ms: float  # the least
+    cold_from: float
+    ramp_ms: float
+
+
+@dataclass(slots=True)
+class Seen:
+    """One booking server."""
+
+    lines: float = 0.0
+    active: bool = True
+    started_ms: float | None = None
+    size: Size = field(default_factory=Size)
+    flow: Flow = field(default_factory=Flow)
+    free: float | None = None
+    price: float = 0.0  # how far it is over its target, summed up over time
+    push: float = 0.0  # and as it was last seen
+    own: float = 0.0  # by the waits that this sender saw itself
+    own_ms: float = -math.inf
+
+
+class Sight:
+    """Estimates of all booking servers for one sender."""
+
+    def __init__(self) -> None:
+        self.terms = Terms(math.inf, 1.0, 1.0)
+        self.servers: dict[str, Seen] = {}
+        self.most_servers = 1
+        self.most_lines = 0.0  # of all active servers together, at most
+        self.ratio: float | None = None  # set-ups a second for each line, over the servers that have told
+        self.least_lines = 0.0
+        self.hold_ms, self.width, self.asked = 0.0, 1.0, 0.0
+        self.worths: dict[float, float] = {}  # how much was asked of each worth, fading
+        self.asked_over = 0.0
+        self.waits: deque[tuple[float, float]] = deque(maxlen=MOST_WAITS)  # (when seen, how long)
+        self.out: dict[int, float] = {}  # set-ups that are out, and when they were sent
+        self.looked_ms = -math.inf
+
+    # -- what comes in --------------------------------------------------------------------------------
+    def list(self, servers: Iterable[tuple[str, bool, float | None]]) -> None:
+        """The list as it stands: server, whether it is active, and when its process started."""
+        named: dict[str, Seen] = {}
+        for server, active, started_ms in servers:
+            seen = self.servers.get(server) or Seen(started_ms=started_ms)
+            if started_ms != seen.started_ms:
+                seen.started_ms, seen.price, seen.push, seen.free = started_ms, 0.0, 0.0, None
+                seen.flow.forget()
+            seen.active = active
+            named[server] = seen
+        self.servers = named
+        self.most_servers = max(self.most_servers, sum(1 for seen in named.values() if seen.active))
+        self._sizes()
+
+    def call(self, hold_ms: float | None, width: float, worth: float) -> None:
+        """A call that is asked for, with the mean length of its class where the settings tell it."""
+        self.asked = min(self.asked + 1.0, 500.0)
+        part = 1.0 / self.asked
+        self.width += part * (width - self.width)
+        if hold_ms is not None and hold_ms > 0.0:
+            self.hold_ms += part * (width * hold_ms - self.hold_ms) if self.hold_ms > 0.0 else width * hold_ms
+        if self.asked % 50.0 == 0.0 or self.asked == 500.0:
+            self.worths = {key: 0.99 * count for key, count in self.worths.items() if count > 0.05}
+        self.worths[worth] = self.worths.get(worth, 0.0) + 1.0
+
+    def told(
+        self, now_ms: float, server: str, free: float | None, lines: float | None, per_s: float | None,
+    ) -> None:
+        """A report of the server's, asked for or not."""
+        if (seen := self.servers.get(server)) is None:
+            return
+        if per_s is not None:
+            seen.size.told(now_ms, per_s / self.warmth(now_ms, seen))
+        if lines is not None and lines != seen.lines and free is not None:
+            seen.lines = lines
+            self._sizes()
+        elif per_s is not None:
+            self._ratio()
+        if free is None:
+            return
+        seen.free = free
+        before_ms = seen.flow.at_ms
+        taken = max(0.0, seen.lines - free)
+        if self.hold_ms > 0.0 and seen.flow.told(now_ms, taken, self.hold_ms, self.width):
+            self._price(now_ms, seen, now_ms - before_ms)
+
+    def waited(self, now_ms: float, server: str, wait_ms: float) -> None:
+        """A wait seen at a server, at the least: of a set-up given up on, its age."""
+        usual_ms = SHED_FROM * self.terms.aim_ms
+        if (seen := self.servers.get(server)) is not None:
+            own = self.own(now_ms, seen)
+            late = wait_ms / usual_ms - 1.0
+            seen.own, seen.own_ms = (max(own, min(OWN_MOST, late)) if late > 0.0 else OWN_REST * own), now_ms
+        self.waits.append((now_ms, max(0.0, wait_ms)))
+
+    def wait_ms(self, now_ms: float) -> float:
+        """The wait of now at most servers: under it are SHED_PART of those seen lately and of what is out.
+
+        Not the mean: a few crushed servers, where much is out for long, say nothing of all the others.
+        """
+        while self.waits and self.waits[0][0] < now_ms - POOLED_MS:
+            self.waits.popleft()
+        ages = [now_ms - at_ms for at_ms in self.out.values()]
+        found = sorted([wait_ms for _, wait_ms in self.waits] + ages)
+        return found[int(SHED_PART * len(found))] if len(found) >= LEAST_WAITS else 0.0
+
+    @staticmethod
+    def own(now_ms: float, seen: Seen) -> float:
+        return seen.own * math.exp((seen.own_ms - now_ms) / OWN_MS) if seen.own > 0.0 else 0.0
+
+    # -- sizes ----------------------------------------------------------------------------------------
+    def _sizes(self) -> None:
+        self.least_lines = min((s.lines for s in self.servers.values() if s.lines > 0), default=0.0)
+        self.most_lines = max(self.most_lines, sum(s.lines for s in self.servers.values() if s.active))
+        self._ratio()
+
+    def _ratio(self) -> None:
+        known = [s for s in self.servers.values() if s.active and s.lines > 0 and s.size.per_s is not None]
+        lines = sum(seen.lines for seen in known)
+        self.ratio = sum(seen.size.per_s or 0.0 for seen in known) / lines if lines > 0 else None
+
+    def per_s(self, seen: Seen) -> float | None:
+        """Set-ups a second that it can do warm; by its lines where it has not told, None if neither."""
+        if seen.size.per_s is not None:
+            return seen.size.per_s
+        return seen.lines * self.ratio if seen.lines > 0 and self.ratio is not None else None
+
+    def share(self, server: str) -> float:
+        """The server's part of what all can do: by what they told, by their lines, or all alike."""
+        seen = self.servers[server]
+        if self.most_lines <= 0.0:
+            return 1.0 / self.most_servers
+        if seen.size.per_s is not None and self.ratio is not None:
+            return seen.size.per_s / self.ratio / self.most_lines
+        lines = seen.lines or self.least_lines
+        return lines / self.most_lines if lines > 0 else 1.0 / self.most_servers
+
+    def warmth(self, now_ms: float, seen: Seen) -> float:
+        """Part of its warm speed that a server has at least."""
+        if seen.started_ms is None:
+            return 1.0
+        age = max(0.0, (now_ms - seen.started_ms) / self.terms.ramp_ms)
+        return min(1.0, self.terms.cold_from + (1.0 - self.terms.cold_from) * age)
+
+    # -- how pressed ----------------------------------------------------------------------------------
+    def target(self, now_ms: float, seen: Seen) -> float | None:
+        """Set-ups a second that the server should get from all: so many that its mean wait stays at LEVEL.
+
+        A processor with one line and equal work waits s * u / (2 - 2u) at a load of u; s is a set-up's work.
+        """
+        if (per_s := self.per_s(seen)) is None:
+            return None
+        warm = per_s * self.warmth(now_ms, seen)
+        work_ms = 1000.0 / warm
+        most = warm * (1.0 - work_ms / (2.0 * LEVEL * self.terms.aim_ms + work_ms))
+        told = seen.size.told_per_s * self.warmth(now_ms, seen)
+        if told < most:
+            most -= (most - told) * math.exp((seen.size.told_ms - now_ms) / NOW_MS)
+        return most
+
+    def _price(self, now_ms: float, seen: Seen, span_ms: float) -> None:
+        target = self.target(now_ms, seen)
+        if target is None or seen.flow.per_s is None or seen.flow.error() > 1.0:
+            return
+        # Set-ups that are given up free their lines: a jam looks idle by what changes, not by what is taken.
+        usual = min(HELD_MOST * target, (seen.lines - (seen.free or 0.0)) / self.hold_ms * 1000.0)
+        off = math.log(max(0.05, max(seen.flow.per_s, usual) / max(target, 0.1)))
+        error = seen.size.error if seen.size.per_s is not None else LINES_ERROR
+        seen.push = math.copysign(max(0.0, abs(off) - error), off)  # within its error nothing is known
+        if self.own(now_ms, seen) > OWN_DOUBT:
+            seen.push = max(0.0, seen.push)
+        price = seen.price + seen.push * min(span_ms, 2000.0) / PRICE_MS
+        seen.price = min(MOST_PRICE, max(LEAST_PRICE, price))
+        if now_ms - self.looked_ms >= SPAN_MS:
+            self.looked_ms, self.asked_over = now_ms, self._asked(now_ms)
+
+    def _asked(self, now_ms: float) -> float:
+        """Natural logarithm of what all are asked over what all can take; 0 where most are not known."""
+        asked = able = lines = known = 0.0
+        for seen in self.servers.values():
+            if not seen.active or seen.lines <= 0:
+                continue
+            lines += seen.lines
+            target = self.target(now_ms, seen)
+            if target is None or seen.flow.per_s is None or now_ms - seen.flow.at_ms > NOW_MS:
+                continue
+            known += seen.lines
+            asked += seen.flow.per_s
+            # A server with no line left takes what ends.
+            able += min(target, seen.flow.per_s + (seen.free or 0.0) / self.width)
+        return math.log(asked / able) if known > LEAST_KNOWN * lines and min(asked, able) > 0.0 else 0.0
+
+    def sized(self, server: str) -> bool:
+        """Whether it has told what it can do."""
+        return self.servers[server].size.per_s is not None
+
+    def known(self, server: str) -> bool:
+        """Whether the server's load stands on enough to go by."""
+        seen = self.servers[server]
+        return seen.flow.per_s is not None and self.per_s(seen) is not None
+
+    def chance(self, now_ms: float, server: str) -> float:
+        """The part of the calls for this server that it should get; 1 where nothing speaks against it."""
+        seen = self.servers[server]
+        if not self.known(server):
+            return 1.0
+        price = max(0.0, seen.price) + AT_ONCE * max(0.0, seen.push)
+        return math.exp(-max(price, self.own(now_ms, seen))) * self._lines(seen)
+
+    def weight(self, now_ms: float, server: str) -> float:
+        """Its weight among those that calls may be led around to: what it can do, less where pressed."""
+        seen = self.servers[server]
+        if not self.known(server):
+            return self.share(server)
+        price = max(seen.price + AT_ONCE * seen.push, self.own(now_ms, seen) or -math.inf)
+        return self.share(server) * math.exp(-price) * self._lines(seen)
+
+    def _lines(self, seen: Seen) -> float:
+        """Free lines against what comes until the next telling: few are shared out among all senders."""
+        if seen.free is None or seen.flow.per_s is None:
+            return 1.0
+        coming = seen.flow.per_s * self.width * USUAL_TELL_MS / 1000.0
+        return min(1.0, ENDING * (seen.free > 0.0) + seen.free / max(1.0, RESERVE * coming))
+
+    def over(self, now_ms: float) -> float:
+        """The part of what is asked for that is more than all can take in time.
+
+        By the wait of all, which grows with what was too much before, and by what comes now: the first alone
+        would answer late, the second alone would never work off what waits.
+        """
+        part = self.wait_ms(now_ms) / self.terms.aim_ms
+        if part < SHED_FROM / 2.0:
+            return 0.0  # lines that fill up, as at the start of all, are no overload
+        late = (part - SHED_FROM) / SHED_OVER
+        return min(MOST_SHED, max(0.0, late + SHED_ASKED * max(0.0, self.asked_over)))
+
+    def refused(self, now_ms: float, worth: float, drawn: float) -> bool:
+        """Whether a call of this worth is more than all can take, least worth first; drawn: its own lot."""
+        if (over := self.over(now_ms)) <= 0.0:
+            return False
+        total = sum(self.worths.values())
+        below = sum(count for key, count in self.worths.items() if key < worth)
+        return drawn * self.worths.get(worth, 0.0) < over * total - below
--- a/lab/__main__.py
+++ b/lab/__main__.py
@@ -70,6 +70,8 @@
 @click.option("--load", "loads", multiple=True, type=float, default=(0.6, 0.85), show_default=True)
 @click.option("--world", "worlds", multiple=True, type=click.Choice(spread.WORLDS), default=("quiet",),
               show_default=True)
+@click.option("--form", type=click.Choice(spread.FORMS), default="even", show_default=True,
+              help="planned: lines and processors of other sizes than the traffic, states told unasked.")
 @click.option("--who", "whos", multiple=True, default=("module", *spread.ROUTERS), show_default=True,
               help="module, module@COMMIT for the module as it was, or a router that no proxy can be.")
 @click.option("--seeds", default=3, show_default=True)
@@ -79,8 +81,8 @@
 @click.option("--workers", default=max(1, (os.cpu_count() or 2) - 2), show_default=True)
 @click.option("--json", "as_json", is_flag=True, help="The result as one JSON object on the last line.")
 def spread_command(
-    sizes: tuple[int, ...], loads: tuple[float, ...], worlds: tuple[str, ...], whos: tuple[str, ...],
-    seeds: int, first: int, servers: int, seconds: float, workers: int, as_json: bool,
+    sizes: tuple[int, ...], loads: tuple[float, ...], worlds: tuple[str, ...], form: str,
+    whos: tuple[str, ...], seeds: int, first: int, servers: int, seconds: float, workers: int, as_json: bool,
 ) -> None:
     """How evenly proxies that see little load the booking servers, and what kept them where they did not."""
     logger.remove()
@@ -88,7 +90,7 @@
         if who != "module" and who not in spread.ROUTERS and not who.startswith("module@"):
             raise click.BadParameter(f"{who}: module, module@COMMIT, {', '.join(spread.ROUTERS)}")
     found = spread.experiment([
-        spread.Arm(size, load, world, who, seed, servers, seconds)
+        spread.Arm(size, load, world, who, seed, servers, seconds, form)
         for size in sizes for load in loads for world in worlds for who in whos
         for seed in range(first, first + seeds)
     ], workers)
--- a/lab/fleet/checker.py
+++ b/lab/fleet/checker.py
@@ -56,7 +56,7 @@
     return [
         *_lives(seen), *(Broken("foul", "", text) for text in seen.foul),
         *_outcomes(seen, by_call, lives, slack_ms),
-        *_attempts(by_call, asked, contract, slack_ms),
+        *_attempts(seen, by_call, asked, contract, slack_ms),
         *_drains(seen, contract, slack_ms),
         *_cold(seen, contract),
         *_ends(seen, by_call, asked, lives, contract, slack_ms),
@@ -110,8 +110,18 @@
     return found
 
 
+def _unheard(seen: Seen, before: Attempt, after: Attempt) -> bool:
+    """Whether the proxy may have given the one up before the other, and its word lay in the dark."""
+    return any(
+        (one.proxy, one.server) == (before.proxy, before.server)
+        and one.from_ms < after.first_ms and one.to_ms > before.first_ms
+        for one in seen.darks
+    )
+
+
 def _attempts(
-    by_call: dict[str, list[Attempt]], asked: dict[str, Asked], contract: Contract, slack_ms: float
+    seen: Seen, by_call: dict[str, list[Attempt]], asked: dict[str, Asked], contract: Contract,
+    slack_ms: float,
 ) -> list[Broken]:
     """Rules 2, 5 and the bound: one attempt at a time, the release awaited, six at most."""
     found = []
@@ -123,6 +133,8 @@
         for before, after in zip(attempts, attempts[1:], strict=False):
             # Of one given up the proxy's word counts: its time here is that of its reading, so it can only
             # be late.  What the booking server ended itself it wrote before the proxy could know.
+            if _unheard(seen, before, after):
+                continue
             grace_ms = slack_ms if before.end.may_have_run else 0.0
             if after.whole_ms < before.end_ms - grace_ms:
                 found.append(Broken(
--- a/lab/fleet/records.py
+++ b/lab/fleet/records.py
@@ -111,6 +111,16 @@
     per_s: float  # what it does once warm
 
 
+@dataclass(slots=True)
+class Dark:
+    """A way that was cut off: what a proxy wrote there was heard only afterwards."""
+
+    proxy: int
+    server: str
+    from_ms: float
+    to_ms: float = math.inf
+
+
 @dataclass(slots=True)
 class Seen:
     """All of a day."""
@@ -120,6 +130,7 @@
     lives: list[Life] = field(default_factory=list)
     told: list[Told] = field(default_factory=list)
     colds: list[Cold] = field(default_factory=list)
+    darks: list[Dark] = field(default_factory=list)
     foul: list[str] = field(default_factory=list)  # messages that no party may send
     ended_ms: float = math.inf  # of the day: what was due later is not judged
     connections: int = 0  # that proxies opened to booking servers
--- a/lab/proxy.py
+++ b/lab/proxy.py
@@ -28,13 +28,13 @@
         gateway_no=number, gateway_count=count,
         classes=tuple(
             api.CallClass(name, contract.aim_ms[n], contract.deadline_ms, contract.worth[n],
-                          contract.late_worth[n])
+                          contract.late_worth[n], hold_ms=contract.hold_ms if contract.told_ms > 0 else None)
             for n, name in enumerate(CLASSES)
         ),
         cold_from=contract.cold_from, ramp_ms=contract.ramp_ms, fall_multiple=contract.fall_multiple,
         fall_ms=contract.fall_ms, release_ms=contract.release_ms, drain_grace_ms=contract.drain_grace_ms,
         answer_slack_ms=20.0, tick_ms=5.0, max_attempts=contract.max_attempts, resend_ms=contract.resend_ms,
-        may_cancel=True, reports=api.Reports.ANSWERS,
+        may_cancel=True, may_probe=contract.told_ms > 0, reports=api.Reports.ANSWERS,
     )
 
 
@@ -64,7 +64,7 @@
         self.alive = False
         self.handed: Snapshot | None = None
         self.asked: dict[int, Asked] = {}
-        self.version = 0
+        self.version = self.probes = 0
 
     def up(self, book: Book | None) -> None:
         """Start with what is remembered, or with nothing."""
@@ -75,7 +75,7 @@
         self.keeper = Keeper(terms, book, self._hand_over)
         self.list_servers()
         for server in self.servers:
-            self.feed(api.ServerReport(server.uid, api.Result.OK, server.report(), False))
+            self.feed(api.ServerReport(server.uid, api.Result.OK, server.report(unasked=True), False))
         self._sweep(self.life)
 
     def list_servers(self) -> None:
@@ -145,11 +145,19 @@
                     asked = self.asked.get(call)
                     if asked is not None and asked.attempt == number:
                         self._end(asked, number, api.Result.CANCELLED, api.Why.UNSAID, api.Report())
+                case api.Probe(uid):
+                    self.engine.after(2.0 * WAY_MS, self._probed, self.life, uid)
                 case api.SetTimer(delay_ms, name):
                     self.engine.after(delay_ms, self._timer, self.life, name)
                 case _:
                     pass
 
+    def _probed(self, life: int, uid: str) -> None:
+        server = next(one for one in self.servers if one.uid == uid)
+        self.probes += 1
+        if life == self.life and self.engine.now_ms >= server.up_ms:
+            self.feed(api.ServerReport(uid, api.Result.OK, server.report(), True))
+
     def _timer(self, life: int, name: str) -> None:
         if life == self.life:
             self.feed(api.TimerFired(name))
@@ -173,7 +181,8 @@
             self.rules.ended(asked.call, self.engine.now_ms, False)
             self._final(asked.call, "stands")
             self.feed(api.Stands(asked.call, number, server.uid, self.engine.now_ms - sent_ms))
-            self.feed(api.ServerReport(server.uid, api.Result.OK, report, False))
+            if self.contract.told_ms <= 0:
+                self.feed(api.ServerReport(server.uid, api.Result.OK, report, False))
 
         def over(report: api.Report) -> None:
             if life == self.life:
--- a/lab/spread.py
+++ b/lab/spread.py
@@ -25,7 +25,7 @@
 from capershelf import control
 from capershelf import interface as api
 from lab.engine import Engine
-from lab.proxy import Asked, Proxy
+from lab.proxy import WAY_MS, Asked, Proxy
 from lab.rules import Rules
 from lab.world import Arrival, Contract, Server, arrivals, interval
 
@@ -36,7 +36,17 @@
 LEAST_S, MOST_S = 5.0, 15.0  # calls a second of a warm booking server
 LINES_FACTOR = 1.6
 IDLE = 0.3  # a booking server so little busy in a second stands by
-ABLE_MS = 200.0  # one whose line is shorter could have taken the call in time
+ABLE = 200.0 / 375.0  # of the least aim: one whose line is shorter could have taken the call in time
+# The form `planned`: lines were planned for other traffic than comes, processors are of other sizes still.
+PLANNED = Contract(
+    aim_ms=(2000.0, 1500.0), deadline_ms=9000.0, dear_share=0.25, hold_ms=9000.0, told_ms=1000.0,
+    patience_ms=3200.0, pauses=(400.0, 800.0), retries=2, turn_away_ms=2500.0,
+)
+MEAN_S = 40.0  # calls a second of a warm booking server there
+SIZE_CV, SPEED_CV, SHARE_CV, UNASKED = 0.5, 0.35, 0.5, 8  # one place in UNASKED is nobody's first choice
+SPARE = 5.0  # square roots of a server's planned load in lines
+NOISE = 0.08
+FORMS = ("even", "planned")
 LEAD_MS = 2000.0  # from the start, which is not judged
 WORST_MS = 10_000.0
 GREEDY, GREED = 10, 5.0  # one proxy in so many has so many times the others' traffic
@@ -55,6 +65,7 @@
     seed: int
     servers: int = 24
     seconds: float = 20.0
+    form: str = "even"
 
 
 @dataclass(frozen=True, slots=True)
@@ -150,31 +161,35 @@
     """One run."""
 
     def __init__(self, arm: Arm) -> None:
-        self.arm, self.contract, self.engine = arm, Contract(), Engine(BEGAN_MS)
+        self.arm, self.engine = arm, Engine(BEGAN_MS)
+        self.contract = PLANNED if arm.form == "planned" else Contract()
+        self.able_ms = ABLE * min(self.contract.aim_ms)
         self.rules = Rules(self.contract)
         rng = np.random.Generator(np.random.PCG64(arm.seed))
         chance = np.random.Generator(np.random.PCG64([arm.seed, 1]))
-        sizes = rng.uniform(LEAST_S, MOST_S, arm.servers)
+        sizes, lines, wanted = _even(rng, self.contract, arm) if arm.form == "even" else _planned(
+            rng, self.contract, arm)
         self.servers = [
             FailingServer(
-                self.engine, self.contract, f"s{place}", place, float(per_s),
-                math.ceil(LINES_FACTOR * per_s * self.contract.hold_ms / 1000.0),
+                self.engine, self.contract, f"s{place}", place, float(per_s), int(lines[place]),
                 lambda: float(chance.exponential(self.contract.hold_ms)),
             ) for place, per_s in enumerate(sizes)
         ]
         for server in self.servers:
             server.draw = lambda: float(chance.random())
             self.rules.watch(server)
+            if self.contract.told_ms > 0:
+                server.tell_rate(lambda: math.exp(NOISE * float(chance.standard_normal())))
         self.by_id = {server.uid: server for server in self.servers}
         self.proxies = [
             Watched(
-                self.engine, self.contract, self.rules, n, arm.proxies, 1000 * arm.seed, list(self.servers)
+                self.engine, self.contract, self.rules, n, arm.proxies, 1000 * (arm.proxies * arm.seed + n),
+                list(self.servers),
             ) for n in range(arm.proxies)
         ]
         weights = np.array([GREED if n % GREEDY == GREEDY - 1 else 1.0 for n in range(arm.proxies)])
         self.bounds = np.cumsum(weights / weights.sum())
-        # First choices go by other shares than sizes do.
-        shares = tuple(float(x) for x in rng.dirichlet(8.0 * sizes / sizes.mean()))
+        shares = tuple(float(x) for x in wanted)
         end_ms = BEGAN_MS + 1000.0 * arm.seconds
         per_s = arm.load * float(sizes.sum())
         callers = arrivals(rng, self.contract, BEGAN_MS, end_ms, per_s, shares)
@@ -214,6 +229,14 @@
                     at(begin_ms + 800.0 * n, server.restart, 500.0)
                     at(begin_ms + 800.0 * n + 1000.0, self._list)
 
+    def _tell(self, server: Server) -> None:
+        """The server's free lines, unasked, to all proxies."""
+        if self.engine.now_ms >= server.up_ms:
+            news = api.ServerReport(server.uid, api.Result.OK, server.report(unasked=True), False)
+            for proxy in self.proxies:
+                self.engine.after(WAY_MS, proxy.feed, news)
+        self.engine.after(self.contract.told_ms, self._tell, server)
+
     def _list(self) -> None:
         for proxy in self.proxies:
             proxy.list_servers()
@@ -253,11 +276,11 @@
             return left[int(draw.choice(len(left), p=sizes / sizes.sum()))].uid
         state = {s.uid: self._state(s) for s in self.servers} if who == "true" else self.views[0][1]
         left = [s for s in self.servers if s.uid not in tried and state[s.uid][1] > 0
-                and state[s.uid][0] < ABLE_MS and not s.failing]
+                and state[s.uid][0] < self.able_ms and not s.failing]
         # Of a late state all would choose the same: drawn by size among those with room.
         if who == "late" and left:
             draw = np.random.Generator(np.random.PCG64([event.call, len(tried)]))
-            room = np.array([(1.0 - state[s.uid][0] / ABLE_MS) / s.call_ms for s in left])
+            room = np.array([(1.0 - state[s.uid][0] / self.able_ms) / s.call_ms for s in left])
             return left[int(draw.choice(len(left), p=room / room.sum()))].uid
         return min(left, key=lambda s: state[s.uid][0] + s.call_ms).uid if left else None
 
@@ -266,7 +289,8 @@
         self.refused += 1
         self.since += 1
         state = {s.uid: self._state(s) for s in self.servers}
-        able = [s for s in self.servers if state[s.uid][0] < ABLE_MS and state[s.uid][1] and not s.failing]
+        able = [s for s in self.servers
+                if state[s.uid][0] < self.able_ms and state[s.uid][1] and not s.failing]
         if not able:
             return
         self.able += 1
@@ -316,7 +340,7 @@
                 self.engine.after(arrival.redials[tries], self._dial, arrival, tries + 1)
 
         self.calls += 1
-        proxy.ask(self.calls, arrival, last_ms, done)
+        proxy.ask(self.calls, arrival, min(last_ms, self.engine.now_ms + self.contract.patience_ms), done)
 
     def run(self) -> Outcome:
         self._look()
@@ -333,6 +357,8 @@
                 for server in self.servers:
                     proxy.feed(api.ServerReport(server.uid, api.Result.OK, server.report(), False))
         self._second()
+        for place, server in enumerate(self.servers if self.contract.told_ms > 0 else ()):
+            self.engine.after(self.contract.told_ms * place / len(self.servers), self._tell, server)
         self.engine.run(BEGAN_MS + 1000.0 * self.arm.seconds + self.contract.deadline_ms)
         worth = self.contract.worth
         seconds = sorted({second for second, _ in self.offered})
@@ -355,6 +381,29 @@
         )
 
 
+Sizes = tuple[np.ndarray[Any, Any], np.ndarray[Any, Any], np.ndarray[Any, Any]]
+
+
+def _even(rng: np.random.Generator, contract: Contract, arm: Arm) -> Sizes:
+    """Calls a second of each server, its lines, and its share of first choices: other shares than sizes."""
+    sizes = rng.uniform(LEAST_S, MOST_S, arm.servers)
+    return sizes, np.ceil(LINES_FACTOR * sizes * contract.hold_ms / 1000.0), rng.dirichlet(
+        8.0 * sizes / sizes.mean())
+
+
+def _planned(rng: np.random.Generator, contract: Contract, arm: Arm) -> Sizes:
+    """The same where lines were planned for traffic that comes otherwise, and processors for neither."""
+    def spread(cv: float) -> np.ndarray[Any, Any]:
+        return np.exp(rng.normal(0.0, math.sqrt(math.log(1.0 + cv * cv)), arm.servers))
+
+    planned = spread(SIZE_CV)
+    sizes = planned * spread(SPEED_CV)
+    sizes *= MEAN_S / sizes.mean()
+    held = planned / planned.mean() * MEAN_S * contract.hold_ms / 1000.0
+    wanted = planned * spread(SHARE_CV) * (rng.permutation(arm.servers) >= arm.servers // UNASKED)
+    return sizes, np.ceil(held + SPARE * np.sqrt(held)), wanted / wanted.sum()
+
+
 def play(arm: Arm) -> Outcome:
     return Day(arm).run()
 
@@ -374,8 +423,9 @@
             broken.update(one.broken)
         refused = sum(one.refused for one in mine)
         rows.append({
-            "proxies": group.proxies, "load": group.load, "world": group.world, "who": group.who,
-            "seeds": len(mine), "service": round(mean, 4), "low": round(low, 4), "high": round(high, 4),
+            "form": group.form, "proxies": group.proxies, "load": group.load, "world": group.world,
+            "who": group.who, "seeds": len(mine), "service": round(mean, 4), "low": round(low, 4),
+            "high": round(high, 4),
             "worst": round(float(np.mean([one.worst for one in mine])), 4),
             "by_class": [round(float(np.mean(kind)), 4)
                          for kind in zip(*(one.by_class for one in mine), strict=True)],
--- a/lab/world.py
+++ b/lab/world.py
@@ -21,6 +21,7 @@
 SETUP_PART, ANSWER_PART, RELEASE_PART = 0.55, 0.25, 0.2  # of a call's work
 COPY_PART = 0.2  # a copy of a set-up that already waits
 REFUSAL_PART = 0.05  # turning one away
+PRESSED_MS, RATE_LATE_MS, RATE_EVERY_MS = 500.0, 150.0, 500.0  # of the rate that a server tells
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,6 +42,11 @@
     drain_grace_ms: float = 2000.0
     max_attempts: int = 6
     hold_ms: float = 2500.0
+    told_ms: float = 0.0  # free lines are told to all so often, its rate with ends; 0: lines with each answer
+    patience_ms: float = math.inf  # a try is given up after this
+    pauses: tuple[float, float] = (80.0, 300.0)  # before a redial: at least, and the mean beyond
+    retries: int = 3
+    turn_away_ms: float = 1200.0  # of waiting work
 
 
 @dataclass(slots=True)
@@ -79,7 +85,8 @@
         self.started_ms: float | None = None  # as the list has it
         self.slowness = 1.0
         self.up_ms = -math.inf  # nobody listens before
-        self.turn_away_ms = 1200.0  # of waiting work
+        self.turn_away_ms = contract.turn_away_ms
+        self.takes: deque[tuple[float, float]] = deque()  # when it may be known, and what it can take
         self.queue: deque[Job] = deque()
         self.waiting_ms = 0.0
         self.busy = False
@@ -107,8 +114,18 @@
         for job in self.queue:
             job.dropped = True
 
-    def report(self) -> Report:
-        return Report(float(self.lines - self.taken), float(self.lines), None)
+    def report(self, unasked: bool = False) -> Report:
+        while len(self.takes) > 1 and self.takes[1][0] <= self.engine.now_ms:
+            self.takes.popleft()
+        takes = self.takes[0][1] if self.takes and not unasked else None
+        return Report(float(self.lines - self.taken), float(self.lines), None, takes)
+
+    def tell_rate(self, noise: Callable[[], float]) -> None:
+        """The set-ups a second that it can take from all: noisy, late, and less where its wait is long."""
+        wait_ms = self.waiting_ms / self.speed()
+        able = 1000.0 / self.call_ms * self.speed() * min(1.0, PRESSED_MS / max(1.0, wait_ms))
+        self.takes.append((self.engine.now_ms + RATE_LATE_MS, able * noise()))
+        self.engine.after(RATE_EVERY_MS, self.tell_rate, noise)
 
     # -- the processor --------------------------------------------------------------------------------
     def work(self, part: float, done: Callable[[], None]) -> Job:
@@ -225,7 +242,7 @@
         found.append(Arrival(
             at_ms, f"n{len(found)}", int(rng.random() < contract.dear_share),
             int(rng.choice(len(shares), p=shares)), float(rng.random()),
-            tuple(float(x) for x in 80.0 + rng.exponential(300.0, size=3)),
+            tuple(map(float, contract.pauses[0] + rng.exponential(contract.pauses[1], contract.retries))),
         ))
 
 
--- a/tests/test_fleet_days.py
+++ b/tests/test_fleet_days.py
@@ -12,7 +12,7 @@
 import pytest
 
 from lab.fleet.checker import Contract, check
-from lab.fleet.records import Asked, Attempt, Cold, End, Life, Outcome, Seen, Told
+from lab.fleet.records import Asked, Attempt, Cold, Dark, End, Life, Outcome, Seen, Told
 from lab.fleet.script import SCRIPTS, Shape, script
 
 ROOT = Path(__file__).parent.parent
@@ -119,6 +119,17 @@
     assert rules(seen) == {"lost"}  # the platform gave it its time
 
 
+def test_what_was_given_up_in_the_dark_is_not_held_against_the_proxy_elsewhere_it_is() -> None:
+    for dark, broken in (
+        (Dark(0, "s1", 1100.0, 1900.0), set()), (Dark(0, "s2", 1100.0, 1900.0), {"two attempts"}),
+        (Dark(0, "s1", 1600.0), {"two attempts"}),
+    ):
+        seen = sound()
+        vars_of(seen.attempts[1], end_ms=1900.0)
+        seen.darks.append(dark)
+        assert rules(seen) == broken
+
+
 def test_a_back_listed_server_and_one_told_in_time_may_be_sent_to() -> None:
     seen = sound()
     seen.told += [Told(0, 1, "s2", -900.0, back_ms=1400.0), Told(0, 1, "s1", -1030.0), Told(1, 1, "s0", -9e3)]
--- a/tests/test_memory_decisions.py
+++ b/tests/test_memory_decisions.py
@@ -14,12 +14,13 @@
 from hypothesis import settings as hypothesis_settings
 
 from capershelf import interface as api
-from capershelf.control import ASKED_SHARE, COLD_SAFETY, LEAST_THRESHOLD, RATE_MS
+from capershelf.control import ASKED_SHARE, COLD_SAFETY, LEAST_THRESHOLD
 from capershelf.memory.ageing import Clocks, HalfLives, age_asked, age_server, part_of, way_only, weight
 from capershelf.memory.keeper import A_SWEEP, HAND_OVER_MS, Keeper, Snapshot, Terms
 from capershelf.memory.records import Book, ServerRecord
 from capershelf.memory.schedule import MOST_BACK_OFF_MS, Schedule, large_change, merge
 from capershelf.memory.trust import Verdict, judge_list
+from capershelf.sight import RATE_MS
 from tests.memory_rig import NOW_MS, book, located, news, record
 from tests.rig import Rig, listed
 
