Learn of pressed servers by own gaps, and hold sizes to the lines; count unheard words right

On a way delayed by 300 ms a give-up is heard later; and where an answer was lost or still on its way as its connection was cut, the stand-in went on to hold the call as standing, which a set-up sent again met ("stands there already", "left standing"). By the protocol a connection's end gives up what is open on it, and for the proxy it is.

Change: the own price rises by 1.5 for a long wait, falls by 0.3 for a short one and fades in two of the sender's own gaps; the seen wait fades in one gap more; target and share are no more than the lines allow.

--- a/capershelf/control.py
+++ b/capershelf/control.py
@@ -312,7 +312,7 @@
         call = Call(event, kind, self.now_ms)
         self.calls[call.id] = self.held[call.id] = call
         self.rate_worth(call, event.tenant)
-        self.sight.call(kind.hold_ms, call.weight, call.worth)
+        self.sight.call(self.now_ms, kind.hold_ms, call.weight, call.worth)
         if self.sight.refused(self.now_ms, call.worth, drawn(call, 0)):
             self.answer(call, Refuse(call.id))
 
@@ -465,7 +465,9 @@
         if report.free_lines is not None:
             gate.free_lines, gate.lines = report.free_lines, report.lines or gate.lines
         self.sight.told(self.now_ms, gate.id, report.free_lines, report.lines, report.takes_per_s)
-        gate.fade_ms = self.scale * FADE_MS if self.sight.known(gate.id) else math.inf
+        gate.fade_ms = math.inf
+        if self.sight.known(gate.id):  # by this sender's own gaps: what it sends there next tells it more
+            gate.fade_ms = self.scale * FADE_MS + 1.0 / max(1e-6, self.part(gate) * self.asked_rate())
         if report.wait_ms is not None:
             gate.news(self.now_ms, report.wait_ms, NEWS_WEIGHT)
 
--- a/capershelf/sight/fleet.py
+++ b/capershelf/sight/fleet.py
@@ -13,6 +13,7 @@
 from dataclasses import dataclass, field
 
 from capershelf.sight.estimates import SPAN_MS, Flow, Size
+from capershelf.sight.rates import Rate
 
 LEVEL = 0.5  # mean wait at the target load, of the least aim
 NOW_MS = 3000.0  # a telling stands so long, fading, before the usual size is believed again
@@ -31,8 +32,8 @@
 SHED_ASKED = 0.7  # and by this part of what comes above what all can take
 MOST_SHED = 0.9
 LINES_ERROR = 0.35  # relative, of a size told by lines alone
-# A wait seen here: its price at the most, fading in so long, and what a short one leaves of it.
-OWN_MOST, OWN_MS, OWN_REST = 2.0, 6000.0, 0.4
+# Waits seen here: their price at the most, what one adds, what a short one takes off, and how it fades.
+OWN_MOST, OWN_STEP, OWN_REST, OWN_MS, OWN_GAPS = 3.0, 1.5, 0.3, 3000.0, 2.0
 OWN_DOUBT = 0.2  # over this the lines of a server do not speak for it: those given up on free them, too
 LEAST_KNOWN = 0.5  # of all lines belong to servers whose size is known: less says nothing of all
 
@@ -73,6 +74,7 @@
         self.ratio: float | None = None  # set-ups a second for each line, over the servers that have told
         self.least_lines = 0.0
         self.hold_ms, self.width, self.asked = 0.0, 1.0, 0.0
+        self.asked_rate = Rate()  # set-ups asked of this sender, a ms
         self.worths: dict[float, float] = {}  # how much was asked of each worth, fading
         self.asked_over = 0.0
         self.waits: deque[tuple[float, float]] = deque(maxlen=MOST_WAITS)  # (when seen, how long)
@@ -94,8 +96,9 @@
         self.most_servers = max(self.most_servers, sum(1 for seen in named.values() if seen.active))
         self._sizes()
 
-    def call(self, hold_ms: float | None, width: float, worth: float) -> None:
+    def call(self, now_ms: float, hold_ms: float | None, width: float, worth: float) -> None:
         """A call that is asked for, with the mean length of its class where the settings tell it."""
+        self.asked_rate.add(now_ms)
         self.asked = min(self.asked + 1.0, 500.0)
         part = 1.0 / self.asked
         self.width += part * (width - self.width)
@@ -124,15 +127,16 @@
         before_ms = seen.flow.at_ms
         taken = max(0.0, seen.lines - free)
         if self.hold_ms > 0.0 and seen.flow.told(now_ms, taken, self.hold_ms, self.width):
-            self._price(now_ms, seen, now_ms - before_ms)
+            self._price(now_ms, server, seen, now_ms - before_ms)
 
     def waited(self, now_ms: float, server: str, wait_ms: float) -> None:
         """A wait seen at a server, at the least: of a set-up given up on, its age."""
         usual_ms = SHED_FROM * self.terms.aim_ms
         if (seen := self.servers.get(server)) is not None:
-            own = self.own(now_ms, seen)
+            own = self.own(now_ms, server, seen)
             late = wait_ms / usual_ms - 1.0
-            seen.own, seen.own_ms = (max(own, min(OWN_MOST, late)) if late > 0.0 else OWN_REST * own), now_ms
+            own = min(OWN_MOST, own + min(OWN_STEP, late)) if late > 0.0 else max(0.0, own - OWN_REST)
+            seen.own, seen.own_ms = own, now_ms
         self.waits.append((now_ms, max(0.0, wait_ms)))
 
     def wait_ms(self, now_ms: float) -> float:
@@ -146,9 +150,13 @@
         found = sorted([wait_ms for _, wait_ms in self.waits] + ages)
         return found[int(SHED_PART * len(found))] if len(found) >= LEAST_WAITS else 0.0
 
-    @staticmethod
-    def own(now_ms: float, seen: Seen) -> float:
-        return seen.own * math.exp((seen.own_ms - now_ms) / OWN_MS) if seen.own > 0.0 else 0.0
+    def own(self, now_ms: float, server: str, seen: Seen) -> float:
+        """The price by this sender's own waits there; it fades in so many of its usual gaps, for it learns by
+        what it sends: where hundreds send seldom, all would come back before one has learned anything."""
+        if seen.own <= 0.0:
+            return 0.0
+        gap_ms = 1.0 / max(1e-6, self.share(server) * self.asked_rate.value(now_ms))
+        return seen.own * math.exp((seen.own_ms - now_ms) / (OWN_MS + OWN_GAPS * gap_ms))
 
     # -- sizes ----------------------------------------------------------------------------------------
     def _sizes(self) -> None:
@@ -173,7 +181,8 @@
         if self.most_lines <= 0.0:
             return 1.0 / self.most_servers
         if seen.size.per_s is not None and self.ratio is not None:
-            return seen.size.per_s / self.ratio / self.most_lines
+            most = seen.lines / self.hold_ms * 1000.0 if self.hold_ms > 0.0 and seen.lines > 0.0 else math.inf
+            return min(seen.size.per_s, most) / self.ratio / self.most_lines
         lines = seen.lines or self.least_lines
         return lines / self.most_lines if lines > 0 else 1.0 / self.most_servers
 
@@ -195,12 +204,14 @@
         warm = per_s * self.warmth(now_ms, seen)
         work_ms = 1000.0 / warm
         most = warm * (1.0 - work_ms / (2.0 * LEVEL * self.terms.aim_ms + work_ms))
+        if self.hold_ms > 0.0 and seen.lines > 0.0:
+            most = min(most, seen.lines / self.hold_ms * 1000.0)  # no more can stand there
         told = seen.size.told_per_s * self.warmth(now_ms, seen)
         if told < most:
             most -= (most - told) * math.exp((seen.size.told_ms - now_ms) / NOW_MS)
         return most
 
-    def _price(self, now_ms: float, seen: Seen, span_ms: float) -> None:
+    def _price(self, now_ms: float, server: str, seen: Seen, span_ms: float) -> None:
         target = self.target(now_ms, seen)
         if target is None or seen.flow.per_s is None or seen.flow.error() > 1.0:
             return
@@ -209,7 +220,7 @@
         off = math.log(max(0.05, max(seen.flow.per_s, usual) / max(target, 0.1)))
         error = seen.size.error if seen.size.per_s is not None else LINES_ERROR
         seen.push = math.copysign(max(0.0, abs(off) - error), off)  # within its error nothing is known
-        if self.own(now_ms, seen) > OWN_DOUBT:
+        if self.own(now_ms, server, seen) > OWN_DOUBT:
             seen.push = max(0.0, seen.push)
         price = seen.price + seen.push * min(span_ms, 2000.0) / PRICE_MS
         seen.price = min(MOST_PRICE, max(LEAST_PRICE, price))
@@ -247,14 +258,14 @@
         if not self.known(server):
             return 1.0
         price = max(0.0, seen.price) + AT_ONCE * max(0.0, seen.push)
-        return math.exp(-max(price, self.own(now_ms, seen))) * self._lines(seen)
+        return math.exp(-max(price, self.own(now_ms, server, seen))) * self._lines(seen)
 
     def weight(self, now_ms: float, server: str) -> float:
         """Its weight among those that calls may be led around to: what it can do, less where pressed."""
         seen = self.servers[server]
         if not self.known(server):
             return self.share(server)
-        price = max(seen.price + AT_ONCE * seen.push, self.own(now_ms, seen) or -math.inf)
+        price = max(seen.price + AT_ONCE * seen.push, self.own(now_ms, server, seen) or -math.inf)
         return self.share(server) * math.exp(-price) * self._lines(seen)
 
     def _lines(self, seen: Seen) -> float:
--- a/lab/fleet/checker.py
+++ b/lab/fleet/checker.py
@@ -111,11 +111,11 @@
 
 
 def _unheard(seen: Seen, before: Attempt, after: Attempt) -> bool:
-    """Whether the proxy may have given the one up before the other, and its word lay in the dark."""
+    """Whether the proxy may have given the one up before the other, and its word was still on its way."""
     return any(
         (one.proxy, one.server) == (before.proxy, before.server)
         and one.from_ms < after.first_ms and one.to_ms > before.first_ms
-        for one in seen.darks
+        for one in seen.unheard
     )
 
 
--- a/lab/fleet/day.py
+++ b/lab/fleet/day.py
@@ -22,7 +22,7 @@
 from lab.fleet.board import Board
 from lab.fleet.callers import CLASSES, Front, schedule
 from lab.fleet.processes import Process, free_port
-from lab.fleet.records import Dark, Life, Outcome, Seen
+from lab.fleet.records import Life, Outcome, Seen, Unheard
 from lab.fleet.script import Shape, Step, script
 from lab.fleet.servers import BookingServer
 from lab.fleet.stage import Stage
@@ -207,14 +207,16 @@
         if step.verb in ("dark", "light", "delay", "cut", "lose"):
             for server, proxy in ((self.servers[n], proxy) for n in servers for proxy in proxies):
                 way = server.ways[proxy]
+                if step.verb == "dark" or step.verb == "delay" and step.value > 0.0:
+                    self.seen.unheard.append(Unheard(proxy, server.uid, self.stage.now_ms))
+                elif step.verb in ("light", "delay"):
+                    for one in self.seen.unheard:
+                        if (one.proxy, one.server) == (proxy, server.uid):
+                            one.to_ms = min(one.to_ms, self.stage.now_ms + way.delay_ms)
                 match step.verb:
                     case "dark":
-                        self.seen.darks.append(Dark(proxy, server.uid, self.stage.now_ms))
                         way.darken()
                     case "light":
-                        for one in self.seen.darks:
-                            if (one.proxy, one.server) == (proxy, server.uid):
-                                one.to_ms = min(one.to_ms, self.stage.now_ms)
                         way.lighten()
                     case "delay":
                         way.delay_ms = step.value
--- a/lab/fleet/records.py
+++ b/lab/fleet/records.py
@@ -112,8 +112,8 @@
 
 
 @dataclass(slots=True)
-class Dark:
-    """A way that was cut off: what a proxy wrote there was heard only afterwards."""
+class Unheard:
+    """A way that was dark or slow: what a proxy wrote there was heard only later."""
 
     proxy: int
     server: str
@@ -130,7 +130,7 @@
     lives: list[Life] = field(default_factory=list)
     told: list[Told] = field(default_factory=list)
     colds: list[Cold] = field(default_factory=list)
-    darks: list[Dark] = field(default_factory=list)
+    unheard: list[Unheard] = field(default_factory=list)
     foul: list[str] = field(default_factory=list)  # messages that no party may send
     ended_ms: float = math.inf  # of the day: what was due later is not judged
     connections: int = 0  # that proxies opened to booking servers
--- a/lab/fleet/servers.py
+++ b/lab/fleet/servers.py
@@ -30,6 +30,7 @@
     attempt: Attempt
     setup: world.SetUp
     passage: Passage
+    heard: bool = False  # its answer was taken for the proxy
 
 
 class BookingServer:
@@ -128,11 +129,12 @@
             self._tell_end(held, passage)
 
     def _over(self, passage: Passage, at_ms: float) -> None:
-        """The set-ups open on it are given up; what stands lives on."""
+        """The set-ups open on it are given up, those too whose answer got lost or was on its way: for the
+        proxy they are open.  What stands lives on."""
         if passage in self._passages:
             self._passages.remove(passage)
         for call, held in list(self._held.items()):
-            if held.passage is passage and not held.setup.stands:
+            if held.passage is passage and not (held.setup.stands and held.heard):
                 self._give_up(call, held, End.CLOSED, at_ms)
 
     def _give_up(self, call: str, held: Held, how: End, at_ms: float) -> None:
@@ -221,7 +223,10 @@
             del self._held[call]
             fields = {"load": self._load()} | ({"note": NOTES[why]} if why in NOTES else {})
             data = line_of("release", call, cause=cause, fields=fields)
-        held.passage.say(data, may_lose=True)
+        def done(taken: bool) -> None:
+            held.heard = taken
+
+        held.passage.say(data, done, may_lose=True)
 
     def _end(self, call: str, setup: world.SetUp) -> None:
         """What stood has come to its end: told on its connection, on any open one, or on the next."""
--- a/tests/test_fleet_days.py
+++ b/tests/test_fleet_days.py
@@ -12,7 +12,7 @@
 import pytest
 
 from lab.fleet.checker import Contract, check
-from lab.fleet.records import Asked, Attempt, Cold, Dark, End, Life, Outcome, Seen, Told
+from lab.fleet.records import Asked, Attempt, Cold, End, Life, Outcome, Seen, Told, Unheard
 from lab.fleet.script import SCRIPTS, Shape, script
 
 ROOT = Path(__file__).parent.parent
@@ -120,13 +120,13 @@
 
 
 def test_what_was_given_up_in_the_dark_is_not_held_against_the_proxy_elsewhere_it_is() -> None:
-    for dark, broken in (
-        (Dark(0, "s1", 1100.0, 1900.0), set()), (Dark(0, "s2", 1100.0, 1900.0), {"two attempts"}),
-        (Dark(0, "s1", 1600.0), {"two attempts"}),
+    for way, broken in (
+        (Unheard(0, "s1", 1100.0, 1900.0), set()), (Unheard(0, "s2", 1100.0, 1900.0), {"two attempts"}),
+        (Unheard(0, "s1", 1600.0), {"two attempts"}),
     ):
         seen = sound()
         vars_of(seen.attempts[1], end_ms=1900.0)
-        seen.darks.append(dark)
+        seen.unheard.append(way)
         assert rules(seen) == broken
 
 
--- a/tests/test_sight.py
+++ b/tests/test_sight.py
@@ -82,7 +82,7 @@
     sight.terms = TERMS
     sight.list([(server, True, None) for server in per_s])
     for n in range(20):
-        sight.call(HOLD_MS, 1.0, 3.0 if n % 4 == 0 else 1.0)
+        sight.call(0.0, HOLD_MS, 1.0, 3.0 if n % 4 == 0 else 1.0)
     for server, rate in per_s.items():
         sight.told(0.0, server, lines, lines, rate)
     return sight
@@ -157,13 +157,14 @@
 def test_lines_do_not_speak_for_a_server_whose_set_ups_were_given_up() -> None:
     sight = sight_of({"a": 40.0, "b": 40.0})
     sight.waited(500.0, "a", 3000.0)
+    sight.waited(600.0, "a", 3000.0)
     for n in range(1, 5):  # its lines fall free: all that was sent was given up
         sight.told(n * TOLD_MS, "a", 9990.0, 10_000.0, None)
     assert sight.chance(4000.0, "a") < 0.5
     assert sight.weight(4000.0, "a") < sight.weight(4000.0, "b")
-    sight.waited(4100.0, "a", 10.0)
-    sight.waited(4200.0, "a", 10.0)
-    assert sight.chance(4300.0, "a") > 0.7
+    for n in range(10):
+        sight.waited(4100.0 + n, "a", 10.0)
+    assert sight.chance(4300.0, "a") > 0.9
     sight.list([("a", True, 5000.0), ("b", True, None)])
     assert sight.servers["a"].flow.per_s is None, "another process: its lines begin anew"
 
