Lead calls around by free lines alone, and refuse late where no load is told

Change: what is led around goes by free lines alone; without known loads refusing begins at 0.8 aims.

--- a/capershelf/sight/fleet.py
+++ b/capershelf/sight/fleet.py
@@ -22,12 +22,13 @@
 MOST_PRICE = 4.0  # natural logarithm: one call in 55
 LEAST_PRICE = -0.7  # a server with room gets up to twice its share of what is led around
 RESERVE = 1.5  # free lines below what comes in so many tellings are shared out,
-ENDING = 0.3  # and so much on top, for lines get free meanwhile
+ENDING = 0.3  # and so much on top for whom it is the first choice, for lines get free meanwhile
 HELD_MOST = 1.3  # a server's taken lines show it to be over its target by no more than this
 USUAL_TELL_MS = 1000.0
 POOLED_MS = 2000.0  # waits seen so lately tell how pressed all are,
 LEAST_WAITS, MOST_WAITS = 4, 31  # from so many on, and of no more
 SHED_FROM, SHED_OVER = 0.3, 0.7  # calls are shed from this wait on, in aims, and all of them so much later
+SHED_UNKNOWN = 0.8  # where nothing tells the servers' loads: a small server's usual work is a long wait, too
 SHED_PART = 0.7
 SHED_ASKED = 0.7  # and by this part of what comes above what all can take
 MOST_SHED = 0.9
@@ -76,7 +77,7 @@
         self.hold_ms, self.width, self.asked = 0.0, 1.0, 0.0
         self.asked_rate = Rate()  # set-ups asked of this sender, a ms
         self.worths: dict[float, float] = {}  # how much was asked of each worth, fading
-        self.asked_over = 0.0
+        self.asked_over, self.loads_known = 0.0, False
         self.waits: deque[tuple[float, float]] = deque(maxlen=MOST_WAITS)  # (when seen, how long)
         self.out: dict[int, float] = {}  # set-ups that are out, and when they were sent
         self.looked_ms = -math.inf
@@ -241,7 +242,8 @@
             asked += seen.flow.per_s
             # A server with no line left takes what ends.
             able += min(target, seen.flow.per_s + (seen.free or 0.0) / self.width)
-        return math.log(asked / able) if known > LEAST_KNOWN * lines and min(asked, able) > 0.0 else 0.0
+        self.loads_known = known > LEAST_KNOWN * lines and min(asked, able) > 0.0
+        return math.log(asked / able) if self.loads_known else 0.0
 
     def sized(self, server: str) -> bool:
         """Whether it has told what it can do."""
@@ -258,7 +260,8 @@
         if not self.known(server):
             return 1.0
         price = max(0.0, seen.price) + AT_ONCE * max(0.0, seen.push)
-        return math.exp(-max(price, self.own(now_ms, server, seen))) * self._lines(seen)
+        lines = min(1.0, ENDING * ((seen.free or 0.0) > 0.0) + self._lines(seen))
+        return math.exp(-max(price, self.own(now_ms, server, seen))) * lines
 
     def weight(self, now_ms: float, server: str) -> float:
         """Its weight among those that calls may be led around to: what it can do, less where pressed."""
@@ -273,7 +276,7 @@
         if seen.free is None or seen.flow.per_s is None:
             return 1.0
         coming = seen.flow.per_s * self.width * USUAL_TELL_MS / 1000.0
-        return min(1.0, ENDING * (seen.free > 0.0) + seen.free / max(1.0, RESERVE * coming))
+        return min(1.0, seen.free / max(1.0, RESERVE * coming))
 
     def over(self, now_ms: float) -> float:
         """The part of what is asked for that is more than all can take in time.
@@ -284,7 +287,7 @@
         part = self.wait_ms(now_ms) / self.terms.aim_ms
         if part < SHED_FROM / 2.0:
             return 0.0  # lines that fill up, as at the start of all, are no overload
-        late = (part - SHED_FROM) / SHED_OVER
+        late = (part - (SHED_FROM if self.loads_known else SHED_UNKNOWN)) / SHED_OVER
         return min(MOST_SHED, max(0.0, late + SHED_ASKED * max(0.0, self.asked_over)))
 
     def refused(self, now_ms: float, worth: float, drawn: float) -> bool:
--- a/tests/test_sight.py
+++ b/tests/test_sight.py
@@ -141,6 +141,12 @@
 
 def test_what_is_too_much_is_refused_by_worth_and_not_for_a_few_crushed_servers() -> None:
     sight = sight_of({"a": 40.0, "b": 40.0})
+    for n in range(31):
+        sight.waited(100.0 + n, "a", 800.0)
+    assert sight.over(200.0) == 0.0, "nothing tells the loads yet: it may be small servers' usual wait"
+    for n in range(2, 6):  # from here on they are known: 33 of 40 a second
+        for server in ("a", "b"):
+            sight.told(n * TOLD_MS, server, 9700.0, 10_000.0, None)
     for n in range(10):  # two in ten waits are long
         sight.waited(5000.0 + n, "a", 2500.0 if n < 2 else 40.0)
     assert sight.over(5100.0) == 0.0
