--- a/tests/test_loopback.py
+++ b/tests/test_loopback.py
@@ -339,6 +339,35 @@
     assert stage.attempts[-1][1:3] in ((B, "new"), (B, "s1"))
 
 
+@pytest.mark.parametrize("told", ["on the next connection", "by the list alone"])
+def test_a_call_whose_server_died_and_whose_address_was_taken_over_is_ended_once(
+    stage: Stage, told: str,
+) -> None:
+    """The newcomer is up before a look at the address finds nobody there and before the list says so: the
+    end is told on the connection opened next, or never; either way its caller hears of it, and once."""
+    caller = stage.caller()
+    caller.set_up(A)
+    assert stage.servers[0].hear()["id"] == A
+    stage.links[0].say("answer", A, sdp="v=0")
+    assert outcome(caller.hear())[:2] == ("answer", A)
+    stage.links[0].leave()
+    stage.links[0] = stage.again(0)  # the address never stopped taking connections
+    stage.until(lambda: stage.planner._known["s0"].epoch is not None)
+    if told == "on the next connection":
+        stage.links[0].say("release", A, cause=16)
+        assert outcome(caller.hear())[:3] == ("release", A, 16)
+    listed = ListedServer("new", 0, Standing.ACTIVE, stage.clock.now_ms())
+    stage.planner.inbox.put(m.News(2, False, (m.Located(listed, stage.servers[0].endpoint),)))
+    if told == "by the list alone":
+        assert outcome(caller.hear())[:3] == ("release", A, 41)
+    stage.links[0] = stage.again(0, "new")
+    stage.links[0].say("release", A, cause=16)  # told once more: nobody hears of it twice
+    stage.until(lambda: stage.planner._known["new"].epoch is not None)
+    stage.settle()
+    caller.say("ping", B, cause=0)
+    assert caller.hear()["type"] == "pong"
+
+
 def one_link(server: BookingServer, clock: ManualClock) -> tuple[Link, Peer, Callable[[], None]]:
     """A link that is up, the server's end of it, and what waits until the link is up once more."""
     told = queue.SimpleQueue[m.Event]()
