Look at both ways in the rig's check of two attempts: the later heard may be the earlier sent

Attempts are put in order by when they were whole, so the one sent first stood second, and the check asked only whether the first way had been dark.

Change: a pair is passed over where either way was dark or slow meanwhile; the test has ways of others, and other times, which are held against the proxy as before.

--- a/lab/fleet/checker.py
+++ b/lab/fleet/checker.py
@@ -111,10 +111,11 @@
 
 
 def _unheard(seen: Seen, before: Attempt, after: Attempt) -> bool:
-    """Whether the proxy may have given the one up before the other, and its word was still on its way."""
+    """Whether the proxy may have given the one up before the other, and its word was still on its way; or the
+    other, heard late, was the earlier one."""
     return any(
-        (one.proxy, one.server) == (before.proxy, before.server)
-        and one.from_ms < after.first_ms and one.to_ms > before.first_ms
+        one.proxy == before.proxy and one.server in (before.server, after.server)
+        and one.from_ms < after.whole_ms and one.to_ms > min(before.first_ms, after.first_ms)
         for one in seen.unheard
     )
 
--- a/tests/test_fleet_days.py
+++ b/tests/test_fleet_days.py
@@ -121,7 +121,8 @@
 
 def test_what_was_given_up_in_the_dark_is_not_held_against_the_proxy_elsewhere_it_is() -> None:
     for way, broken in (
-        (Unheard(0, "s1", 1100.0, 1900.0), set()), (Unheard(0, "s2", 1100.0, 1900.0), {"two attempts"}),
+        (Unheard(0, "s1", 1100.0, 1900.0), set()), (Unheard(0, "s2", 1100.0, 1900.0), set()),
+        (Unheard(1, "s1", 1100.0, 1900.0), {"two attempts"}), (Unheard(0, "s0", 1100.0), {"two attempts"}),
         (Unheard(0, "s1", 1600.0), {"two attempts"}),
     ):
         seen = sound()
