Ask once more at a set-up's first byte whether it may begin

Seen by reading: a set-up that waits for a connection or in an outbox was decided on up to 500 ms before its first byte. That its caller closed or gave up was known to its session, and to the planner only once its inbox came to it; a drain or a new process likewise.

Ruled out: taking back alone (withdraw), which needs the planner's turn first; a priority for departures in the inbox, for one may then come before its own set-up.

The change: a gate goes with each set-up to the connection and is asked under its lock right before the first byte, on whichever thread writes (core/planner.Beginning): the call is open and this its only attempt, deadline, a cold server's turn, the release, drain and process of the server, no news undealt with, the caller still there by its session and by its socket. Sessions mark who has left when they read it, also where the word comes on another connection (House.asker).

Tests changed: the stand-ins take the gate and ask it; FakeServers asserts that what is handed over may begin; test_each_cause also waits for 'not out', where an end of 102 now rests.

--- a/capershelf/benchlink.py
+++ b/capershelf/benchlink.py
@@ -140,7 +140,7 @@
     def action(who: int, action: api.Action) -> str:
         """An action as a line of the wire."""
         match action:
-            case api.Send(call, server, timeout_ms):
+            case api.Send(call, server, timeout_ms, _):
                 return f"issue {who} {call} {server} {timeout_ms:.3f}"
             case api.Refuse(call, stay_away_ms):
                 return f"turn_away {who} {call} {stay_away_ms:.3f}"
--- a/capershelf/core/model.py
+++ b/capershelf/core/model.py
@@ -84,10 +84,22 @@
     def tell(self, word: Word) -> bool:
         """Pass the word on; False when it can no longer be."""
 
+    def waits(self, call_id: str) -> bool:
+        """Whether somebody still waits for this call's outcome, as far as is known.  Any thread asks."""
+
     def over(self, call_id: str) -> None:
         """A call of this caller's has ended here, whatever it is told of it."""
 
 
+class WriteGate(Protocol):
+    """Asked by whichever thread writes a set-up, right before its first byte."""
+
+    def may_begin(self) -> bool: ...
+
+    def dropped(self) -> None:
+        """It was not written, and never will be."""
+
+
 class Servers(Protocol):
     """The ways to the booking servers, as one planner has them.  Nothing here waits."""
 
@@ -101,7 +113,9 @@
     def rest(self, server: str) -> None:
         """Nobody needs this link: close it, and connect no more until it is woken."""
 
-    def set_up(self, server: str, epoch: int, request: SetUp, left_ms: float) -> None: ...
+    def set_up(
+        self, server: str, epoch: int, request: SetUp, left_ms: float, gate: WriteGate
+    ) -> None: ...
 
     def withdraw(self, server: str, call_id: str = "") -> set[str]:
         """Take back set-ups (that call's, or all) of which no byte has been written: their calls' ids.
@@ -160,6 +174,8 @@
     sent_ms: float
     deadline_ms: float
     connect_by_ms: float
+    begin_by_ms: float = math.inf  # later than this it must not begin
+    started_ms: float = -math.inf  # of the server's process that it is meant for
     epoch: int | None = None
     over: bool = False
     timers: list[Cancellable] = field(default_factory=list)
@@ -181,6 +197,9 @@
     state: State = State.OPEN
     attempts: int = 0
     attempt: Attempt | None = None
+    not_before_ms: float = -math.inf  # the release of its last attempt is over then
+    ended_at: str = ""  # the server that last ended an attempt itself,
+    ended_ms: float = -math.inf  # and when
     server: str = ""  # where it stands,
     stood_ms: float = math.inf  # and since when
     answer: Word | None = None  # while it stands, for a caller whose connection broke under it
@@ -238,10 +257,13 @@
 
 @dataclass(frozen=True, slots=True)
 class ServerAnswered:
+    """replaced: it came on a connection that another has taken the place of, and that is heard out."""
+
     server: str
     id: str
     description: str
     report: Report | None
+    replaced: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -252,6 +274,15 @@
     result: Result  # what the release means for a call still being set up
     why: Why
     report: Report | None
+    replaced: bool = False  # as with an answer
+
+
+@dataclass(frozen=True, slots=True)
+class NotBegun:
+    """The set-up of this attempt was dropped where its first byte was to be written."""
+
+    key: int
+    attempt: Attempt
 
 
 @dataclass(frozen=True, slots=True)
@@ -332,6 +363,6 @@
 
 Event = (
     SetUpCame | CallerReleased | CallerCame | CallerLost | CallerBarred
-    | ServerAnswered | ServerReleased | ServerTold | LinkUp | LinkDown | News | Stop
+    | ServerAnswered | ServerReleased | NotBegun | ServerTold | LinkUp | LinkDown | News | Stop
     | TakeOver | AskOpen | Reached
 )
--- a/capershelf/core/planner.py
+++ b/capershelf/core/planner.py
@@ -30,6 +30,8 @@
 LOST_AFTER_MS = 4000.0  # calls that stood at a server out of reach for so long are taken to be cut
 REMOVED_AFTER_MS = 1000.0  # and those at one that the list has dropped, after this
 UNHEARD_MS = 8000.0  # the end of a call is kept so long for a caller without a connection
+# An answer to an attempt that was reset may come so long after: what was replaced is heard out.
+LATE_ANSWER_MS = 2000.0
 
 
 class Timer:
@@ -51,6 +53,40 @@
     """What a timer does that was cancelled."""
 
 
+class Beginning:
+    """The gate of one attempt: all that must hold where its first byte is written, with what is known then.
+
+    Asked on whichever thread writes, so it only looks at what others may have changed meanwhile; what it
+    finds ends nothing by itself.  In the end each of these is also an event in the planner's inbox; this is
+    what they can't come too late for.
+    """
+
+    __slots__ = ("_planner", "_call", "_attempt", "_server")
+
+    def __init__(
+        self, planner: Planner, call: m.Call, attempt: m.Attempt, server: m.ServerState
+    ) -> None:
+        self._planner, self._call, self._attempt, self._server = planner, call, attempt, server
+
+    def may_begin(self) -> bool:
+        call, attempt, server = self._call, self._attempt, self._server
+        now_ms = self._planner.clock.now_ms()
+        caller = call.caller
+        return (
+            call.state is m.State.OPEN and call.attempt is attempt and not attempt.over  # no other is out
+            and now_ms < min(attempt.deadline_ms, call.request.expires_ms)
+            and now_ms <= attempt.begin_by_ms  # the cold budget
+            and now_ms >= self._planner.rests_until(call, server.id)
+            and not (server.draining or server.gone)
+            and server.started_ms <= attempt.started_ms  # its process is the one that it was meant for
+            and not self._planner.has_news()  # which may say that it drains
+            and (caller is None or caller.waits(call.request.id))
+        )
+
+    def dropped(self) -> None:
+        self._planner.inbox.put(m.NotBegun(self._call.request.key, self._attempt))
+
+
 class Planner:
     """Owns the decisions for its part of the calls."""
 
@@ -70,6 +106,9 @@
         self._unheard: dict[int, m.Call] = {}  # ended, and not yet told to a caller
         self._known: dict[str, m.ServerState] = {}
         self._probes: dict[str, str] = {}
+        # Calls that were given up while they were out: until when their id rests, should it come again.
+        self._resting: dict[int, float] = {}
+        self._reset_at: dict[int, str] = {}  # where an attempt was reset lately: its answer may still come
         self._todo: deque[api.Event] = deque()
         self._timers: list[Timer] = []
         self._count = itertools.count(1)
@@ -157,6 +196,9 @@
                 self._answered(event)
             case m.ServerReleased():
                 self._server_released(event)
+            case m.NotBegun(key, attempt):
+                if (call := self._calls.get(key)) is not None and call.attempt is attempt:
+                    self._not_begun(call)
             case m.ServerTold():
                 self._told(event)
             case m.LinkUp():
@@ -180,7 +222,7 @@
     # -- callers --------------------------------------------------------------------------------------
     def _set_up(self, request: m.SetUp, caller: m.Caller) -> None:
         known = self._calls.get(request.key)
-        if known is not None:
+        if known is not None and not self._left_behind(known, caller):
             self._come_back(known, request, caller)
             return
         now_ms = self.clock.now_ms()
@@ -192,6 +234,7 @@
             caller.tell(m.Failed(request.id, m.INVALID))
             return
         call = self._calls[request.key] = m.Call(request, caller)
+        call.not_before_ms = self._resting.get(request.key, -math.inf)
         self.open_calls += 1
         # Guards against a call without an outcome, whatever the module does: the last word is here.
         call.timer = self.at(request.expires_ms, lambda: self._expire(call))
@@ -200,6 +243,19 @@
             request.key, expires_ms, request.call_class, request.far_end, request.number, None, request.width
         ))
 
+    def _left_behind(self, call: m.Call, caller: m.Caller) -> bool:
+        """Whether the call is one whose caller has hung up, which is only not heard here yet: it is left.
+
+        Guards a caller whose connection broke and who sends its set-up once more, on another.
+        """
+        before = call.caller
+        if caller.outlived or call.state is not m.State.OPEN or before is None or before is caller or (
+            before.waits(call.request.id)
+        ):
+            return False
+        self._leave(call)
+        return True
+
     def _come_back(self, call: m.Call, request: m.SetUp, caller: m.Caller) -> None:
         """A set-up with the id of a call that is here: its caller has come back; never a new attempt.
 
@@ -265,8 +321,17 @@
     def _leave(self, call: m.Call, result: api.Result = api.Result.CANCELLED) -> None:
         """The caller has given the set-up up, or its time is over: nothing may be left out."""
         self._latch(call)
+        key, out = call.request.key, call.attempt is not None and call.attempt.epoch is not None
         self._end_attempt(call, result, settled=True)
-        self._feed(api.CallerGone(call.request.key))
+        if out:
+            rests_ms = self._resting[key] = self.clock.now_ms() + self._settings.release_ms
+
+            def rested() -> None:
+                if self._resting.get(key) == rests_ms:
+                    del self._resting[key]
+
+            self.at(rests_ms, rested)
+        self._feed(api.CallerGone(key))
         self._forget(call)
         if call.caller is not None:
             call.caller.over(call.request.id)
@@ -324,11 +389,18 @@
         call = self._calls.get(int(event.id, 16))
         attempt = call.attempt if call is not None else None
         # An attempt still waiting for its connection can't have been answered: that is of an earlier one.
-        ours = attempt is not None and attempt.server == event.server and attempt.epoch is not None
+        there = attempt is not None and attempt.server == event.server and attempt.epoch is not None
+        ours = there and not event.replaced  # what was out on such a connection has been reset
         if call is None:
-            return  # of a call that is none of ours, or was ended at the server when it was ended here
+            # Of a call that is none of ours, or was ended at the server when it was ended here; but where the
+            # connection broke and was heard out, the server does not know that nobody has it.
+            if self._reset_at.get(int(event.id, 16)) == event.server:
+                self.servers.release(event.server, event.id, m.NORMAL)
+            return
         if attempt is None or not ours:
-            if call.state is not m.State.STANDS or call.server != event.server:
+            # To an earlier attempt there, on a connection that is heard out: a release by this id would end
+            # the one that is out now.
+            if not there and (call.state is not m.State.STANDS or call.server != event.server):
                 # Guards against a call that stands for nobody: it was given up while this was on its way.
                 self.servers.release(event.server, event.id, m.NORMAL)
             return
@@ -357,7 +429,10 @@
         if call.state is m.State.STANDS and call.server == event.server:
             result = api.Result.RESET if event.cause == m.CUT else api.Result.OK
             self._end_standing(call, result, event.cause, event.report)
-        elif (out := call.attempt) is not None and out.server == event.server and out.epoch is not None:
+        elif (out := call.attempt) is not None and out.server == event.server and out.epoch is not None and (
+            not event.replaced
+        ):
+            call.ended_at, call.ended_ms = event.server, self.clock.now_ms()
             self._end_attempt(call, event.result, event.why, event.report)
 
     def _told(self, event: m.ServerTold) -> None:
@@ -394,8 +469,16 @@
             return
         attempt.end()
         call.attempt = None
+        key, now_ms = call.request.key, self.clock.now_ms()
         if (server := self._known.get(attempt.server)) is not None:
-            server.calls.pop(call.request.key, None)
+            server.calls.pop(key, None)
+        if attempt.epoch is not None and result in (
+            api.Result.TIMEOUT, api.Result.RESET, api.Result.CANCELLED
+        ):
+            call.not_before_ms = now_ms + self._settings.release_ms
+        if attempt.epoch is not None and result is api.Result.RESET:
+            self._reset_at[key] = attempt.server
+            self.at(now_ms + LATE_ANSWER_MS, functools.partial(self._heard_out, key))
         logger.debug("call {call}: attempt {attempt} at {server} is over: {result}", event="attempt-over",
                      call=call.request.id, attempt=attempt.number, server=attempt.server, result=result.value)
         if attempt.epoch is not None and result in (api.Result.TIMEOUT, api.Result.CANCELLED) and (
@@ -407,6 +490,9 @@
             call.request.key, attempt.number, attempt.server, result, settled, why, None, report
         ))
 
+    def _heard_out(self, key: int) -> None:
+        self._reset_at.pop(key, None)
+
     def _forget(self, call: m.Call) -> None:
         if call.timer is not None:
             call.timer.cancel()
@@ -584,7 +670,7 @@
                 # The module refuses a clock that goes back.
                 self._now_ms = max(self._now_ms, self.clock.now_ms())
                 for action in self._controller.handle(self._now_ms, self._todo[0]):
-                    self._perform(action)
+                    self._carry_out(action)
             except Exception:  # a call's outcome is owed all the same: its deadline is watched here
                 logger.exception(
                     "{planner}: the module could not take {what}", event="module-fault", planner=self.name,
@@ -595,10 +681,20 @@
             if self.memory is not None and isinstance(done, api.Stands | api.AttemptOver | api.ServerReport):
                 self.memory.touched(done.server)
 
+    def _carry_out(self, action: api.Action) -> None:
+        """Guards the actions after one that fails: without its timer the module looks at nothing again."""
+        try:
+            self._perform(action)
+        except Exception:
+            logger.exception(
+                "{planner}: {what} could not be carried out", event="action-fault", planner=self.name,
+                what=action
+            )
+
     def _perform(self, action: api.Action) -> None:
         match action:
-            case api.Send(key, server_id, timeout_ms):
-                self._send(key, server_id, timeout_ms)
+            case api.Send(key, server_id, timeout_ms, begin_by_ms):
+                self._send(key, server_id, timeout_ms, begin_by_ms)
             case api.Refuse(key, stay_away_ms):
                 if (call := self._calls.get(key)) is not None:
                     self._final(call, m.Refused(call.request.id, stay_away_ms))
@@ -617,7 +713,7 @@
                 logger.info("{planner}: {text}", event="decision", planner=self.name, server=server,
                             text=text)
 
-    def _send(self, key: int, server_id: str, timeout_ms: float) -> None:
+    def _send(self, key: int, server_id: str, timeout_ms: float, begin_by_ms: float) -> None:
         now_ms = self.clock.now_ms()
         call = self._calls.get(key)
         server = self._known.get(server_id)
@@ -625,7 +721,10 @@
             raise RuntimeError(f"a set-up of call {key:016x} that may not go out")
         deadline_ms = min(now_ms + timeout_ms, call.request.expires_ms)
         connect_by_ms = min(deadline_ms, now_ms + self._connect_ms)
-        attempt = m.Attempt(call.attempts, server_id, now_ms, deadline_ms, connect_by_ms)
+        started_ms = server.started_ms if server is not None else -math.inf
+        attempt = m.Attempt(
+            call.attempts, server_id, now_ms, deadline_ms, connect_by_ms, begin_by_ms, started_ms
+        )
         call.attempt = attempt
         call.attempts += 1
         attempt.timers.append(self.at(deadline_ms, lambda: self._attempt_due(call, attempt)))
@@ -657,9 +756,42 @@
             self.servers.rest(server.id)
             self._made_room(server.id)
 
+    def has_news(self) -> bool:
+        """Whether the list has told what is not dealt with yet.  Any thread may ask."""
+        return bool(self._news)
+
+    def rests_until(self, call: m.Call, server_id: str) -> float:
+        """Until when no attempt of the call may begin there.  Any thread may ask.
+
+        After an end that the server told itself, as long: guards the next attempt at the same server from a
+        second copy of that end, which would free the call for another while this one is out.
+        """
+        again_ms = call.ended_ms + self._settings.release_ms if call.ended_at == server_id else -math.inf
+        return max(call.not_before_ms, again_ms)
+
+    def _rested(self, call: m.Call, attempt: m.Attempt) -> None:
+        if call.attempt is not attempt or attempt.epoch is not None:
+            return
+        server = self._known.get(attempt.server)
+        if server is None or server.epoch is None:
+            self._end_attempt(call, api.Result.NO_CONNECTION)  # it went meanwhile
+        else:
+            self._dispatch(call, attempt, server)
+
+    def _not_begun(self, call: m.Call) -> None:
+        """The gate has said no."""
+        caller = call.caller
+        if caller is not None and not caller.waits(call.request.id):
+            self._leave(call)
+        else:
+            self._end_attempt(call, api.Result.NOT_SENT)
+
     def _dispatch(self, call: m.Call, attempt: m.Attempt, server: m.ServerState) -> None:
         if server.epoch is None:
             return
+        if (rests_ms := self.rests_until(call, server.id)) > self.clock.now_ms():
+            attempt.timers.append(self.at(rests_ms, lambda: self._rested(call, attempt)))
+            return
         # In this order: what has made the list fresh has come here before.
         if not self.list_fresh() and self.clock.now_ms() >= self._passes_ms or self._news:
             # Guards the drain rule where this process stood still: that a server drains may have been told
@@ -670,11 +802,15 @@
                 until_ms = self.clock.now_ms() + LIST_MS
                 self.at(self.clock.now_ms() + LOOK_MS, lambda: self._await_list(until_ms))
             return
+        gate = Beginning(self, call, attempt, server)
+        if not gate.may_begin():
+            self._not_begun(call)
+            return
         attempt.epoch = server.epoch
         left_ms = attempt.deadline_ms - self.clock.now_ms()
         logger.debug("call {call}: attempt {attempt} to {server}", event="attempt-out",
                      call=call.request.id, attempt=attempt.number, server=server.id)
-        self.servers.set_up(server.id, server.epoch, call.request, left_ms)
+        self.servers.set_up(server.id, server.epoch, call.request, left_ms, gate)
 
     def _await_list(self, until_ms: float) -> None:
         """Look again in a moment; then send what waits for the list alone."""
--- a/capershelf/fronts/session.py
+++ b/capershelf/fronts/session.py
@@ -77,23 +77,32 @@
         self.most_bytes = most_bytes  # of descriptions in open set-ups, of all callers together
         self._bytes = 0
         self.owed = 0  # set-ups taken from callers and not yet given an outcome
+        self._askers: dict[str, Session] = {}  # who waits for the outcome of which
         self._lock = threading.Lock()
         self.ended: Callable[[Session], None]
         self.peer_of: Callable[[Session], Session | None]
 
-    def reserve(self, size: int) -> bool:
+    def reserve(self, call_id: str, size: int, asker: Session) -> bool:
         """Guards a small memory against set-ups of the largest size by the hundred."""
         with self._lock:
             if self.closed or self._bytes + size > self.most_bytes:
                 return False
             self._bytes += size
             self.owed += 1
+            self._askers[call_id] = asker
             return True
 
-    def give_back(self, size: int) -> None:
+    def asker(self, call_id: str) -> Session | None:
+        """The session that waits for this call's outcome: a caller may give it up on any connection."""
+        with self._lock:
+            return self._askers.get(call_id)
+
+    def give_back(self, call_id: str, size: int, asker: Session) -> None:
         with self._lock:
             self._bytes -= size
             self.owed -= 1
+            if self._askers.get(call_id) is asker:
+                del self._askers[call_id]
             last = self.closed and not self.owed
         if last:  # a planner that stops may be waiting for it
             self.every(m.Reached(lambda: None))
@@ -117,6 +126,8 @@
         self._lock = threading.Lock()  # over all that follows
         self._open: dict[str, int] = {}  # the size of each description
         self._stands: set[str] = set()
+        self._given_up: set[str] = set()  # of the open ones: nobody waits for them any more
+        self._gone = False  # the connection has ended
         self.silent = True  # it has never sent a whole message
         self.at_ms = self._clock.now_ms()  # of its last message, or of the last that it was told
         self._leaving = False
@@ -132,6 +143,22 @@
     def elsewhere(self) -> m.Caller | None:
         return None if self.outlived else self._house.peer_of(self)
 
+    def waits(self, call_id: str) -> bool:
+        """Guards booking servers from set-ups for callers that have left, before a planner hears of it."""
+        with self._lock:
+            if call_id in self._given_up:
+                return False
+            if self.outlived:
+                return True
+            gone = self._gone
+        return not gone and not self.connection.hung_up()
+
+    def give_up(self, call_id: str) -> None:
+        """Its caller has called it off; the planner hears of it in its turn."""
+        with self._lock:
+            if call_id in self._open:
+                self._given_up.add(call_id)
+
     def tell(self, word: m.Word) -> bool:
         with self._lock:
             if isinstance(word, m.Answered) and self._leaving:
@@ -156,30 +183,37 @@
     def _end(self, call_id: str) -> None:
         """With the lock: neither open nor standing any more."""
         self._stands.discard(call_id)
+        self._given_up.discard(call_id)
         if (size := self._open.pop(call_id, None)) is not None:
-            self._house.give_back(size)
+            self._house.give_back(call_id, size, self)
 
     # -- what the listener sees -----------------------------------------------------------------------
     def spare(self) -> bool:
         """Whether nobody loses anything by this connection's end."""
         return not (self._open or self._stands or self._leaving)
 
-    def retire(self, reason: str) -> bool:
-        """Hang up, unless there is a call on it by now, or a message that may ask for one."""
+    def retire(self, reason: str, at_once: bool = False) -> bool:
+        """Hang up, unless there is a call on it by now, or a message that may ask for one.
+
+        at_once: its descriptor is needed, and is not left to when its peer hangs up too.
+        """
         if not self.connection.quiet():
             return False
         with self._lock:
             if not self.spare():
                 return False
             self._leaving = True
-        self.connection.finish(1001, reason)
+        if at_once and self.connection.written():
+            self.connection.close(1001, reason)
+        else:
+            self.connection.finish(1001, reason)
         return True
 
     # -- the connection's thread ----------------------------------------------------------------------
     def _ended(self) -> None:
         self._house.ended(self)
         with self._lock:
-            self._leaving, concerned = True, bool(self._open or self._stands)
+            self._gone, self._leaving, concerned = True, True, bool(self._open or self._stands)
             for call_id in list(self._open):
                 self._end(call_id)
         if concerned:
@@ -242,6 +276,8 @@
             self._set_up(message, now_ms)
         elif kind == "release":
             named = vocabulary.call_id(message)
+            if (asker := self._house.asker(named)) is not None:
+                asker.give_up(named)
             self._house.route(named)(m.CallerReleased(named, vocabulary.cause_of(message, named), self))
         elif kind == "ping":
             named = str(message.get("id", ""))[:16]
@@ -258,7 +294,8 @@
         request = vocabulary.set_up_of(message, now_ms, self._house.terms)
         with self._lock:
             size = len(request.description)
-            taken = len(self._open) < min(MOST_OPEN, OPEN + self._stood) and self._house.reserve(size)
+            taken = len(self._open) < min(MOST_OPEN, OPEN + self._stood) and (
+                self._house.reserve(named, size, self))
             if taken:
                 self._open[named] = size
         if not taken:
--- a/capershelf/interface.py
+++ b/capershelf/interface.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from enum import Enum
 
@@ -253,6 +254,7 @@
     call: int
     server: str
     timeout_ms: float
+    begin_by_ms: float = math.inf  # if it can't begin by then, it ends as NOT_SENT
 
 
 @dataclass(frozen=True, slots=True)
--- a/capershelf/net/connection.py
+++ b/capershelf/net/connection.py
@@ -18,6 +18,7 @@
 from loguru import logger
 
 from capershelf.core.clock import Clock
+from capershelf.core.model import WriteGate
 from capershelf.net.buffers import MESSAGE_BYTES
 from capershelf.net.framing import Framing, OverError, Reply
 
@@ -125,7 +126,8 @@
         self._clock, self._open_by_ms, self._on_opened = clock, open_by_ms, on_opened
         self._due, self._on_foul, self._on_late = due, on_foul, on_late
         self._changed = threading.Condition()
-        self._outbox: deque[tuple[bytes, str]] = deque()  # what is left of each message, and its tag
+        # What is left of each message, its tag, and who is asked before its first byte.
+        self._outbox: deque[tuple[bytes, str, WriteGate | None]] = deque()
         self._begun = False  # a part of the first of them has been written
         self._queued = 0
         self._writing = False
@@ -136,12 +138,13 @@
     def start(self) -> None:
         spawn(self.read)
 
-    def post(self, message: bytes, tag: str = "") -> bool:
+    def post(self, message: bytes, tag: str = "", gate: WriteGate | None = None) -> bool:
         """Send a message; False if the connection is not open or its peer too slow.
 
-        One with a tag can be taken back until its first byte has been written.
+        One with a tag can be taken back until its first byte has been written; one with a gate is written
+        only if that says so right before its first byte, whenever that may be, and is dropped else.
         """
-        return self._framing.opened and self._post(self._framing.frame(message), tag)
+        return self._framing.opened and self._post(self._framing.frame(message), tag, gate)
 
     def withdraw(self, tag: str = "") -> set[str]:
         """Take back what waits under this tag, or under any; the tags of which nothing was written.
@@ -158,15 +161,18 @@
                 found.discard(first[1])
             if found:
                 self._outbox = deque(one for one in self._outbox if one[1] not in found)
-                self._queued = sum(len(data) for data, _ in self._outbox)
+                self._queued = sum(len(data) for data, _, _ in self._outbox)
             return found
 
-    def _post(self, data: bytes, tag: str = "") -> bool:
+    def _post(self, data: bytes, tag: str = "", gate: WriteGate | None = None) -> bool:
         with self._changed:
             if self._closed or self._finishing:
                 return False
             begun = False
             if not self._outbox:
+                if gate is not None and not gate.may_begin():
+                    gate.dropped()
+                    return True
                 try:
                     sent = self._sock.send(data, socket.MSG_DONTWAIT)
                 except BlockingIOError:
@@ -183,7 +189,7 @@
                 )
                 self._shut()
                 return False
-            self._outbox.append((data, tag))
+            self._outbox.append((data, tag, gate))
             self._begun = self._begun or begun
             self._queued += len(data)
             if not self._writing:
@@ -215,6 +221,19 @@
         """Whether nothing waits to be written."""
         return self._closed or not self._outbox
 
+    def half(self) -> bool:
+        """Whether a part of a message lies here."""
+        return self._half_ms < math.inf
+
+    def hung_up(self) -> bool:
+        """Whether the peer has closed its end, or the connection is gone, though nobody has read that yet."""
+        waiting = select.poll()
+        try:
+            waiting.register(self._sock, select.POLLRDHUP)
+        except ValueError:  # closed here
+            return True
+        return bool(waiting.poll(0))
+
     def quiet(self) -> bool:
         """Whether nothing has come that is not dealt with yet; looked at in the order in which it is read."""
         try:
@@ -237,7 +256,12 @@
                     if self._finishing:
                         self._last_written()
                     return
-                data, tag = self._outbox[0]
+                data, tag, gate = self._outbox[0]
+                if gate is not None and not self._begun and not gate.may_begin():
+                    self._outbox.popleft()
+                    self._queued -= len(data)
+                    gate.dropped()
+                    continue
                 try:
                     sent = self._sock.send(data, socket.MSG_DONTWAIT)
                 except BlockingIOError:
@@ -251,7 +275,7 @@
                 if sent == len(data):
                     self._outbox.popleft()
                     continue
-                self._outbox[0] = data[sent:], tag
+                self._outbox[0] = data[sent:], tag, gate
             writable(self._sock)
 
     def read(self) -> None:
--- a/capershelf/net/links.py
+++ b/capershelf/net/links.py
@@ -36,6 +36,9 @@
 PULSES, EVEN = 3, 1.25  # so many gaps, the longest no more than so many times the shortest
 LATE_PULSE, LATE_MS = 1.4, 50.0  # gaps, and what may come on top
 LATES = 4  # connections that miss it one after another: there is no pulse
+# Connections being made in place of silent ones, and those that are heard out, over the links' share.
+REPAIRS = 16
+LATER_MS = 100.0  # with none of these left, a silent connection is looked at again after so long
 HEAR_OUT_MS = 1000.0  # what comes on a connection that was replaced is still heard for so long
 BACK_OFF_MS = (50.0, 100.0, 200.0, 400.0, 800.0, 1600.0)
 JITTER = 0.5  # of a pause, up or down: proxies that lost a server together do not come back together
@@ -131,6 +134,25 @@
         self._done(sock, problem)
 
 
+class Repairs:
+    """Descriptors that links may hold beyond their share while they replace each other; the poller's alone.
+
+    Guards the list's connection, and callers, from a fault that silences several hundred links at once.
+    """
+
+    def __init__(self, most: int = REPAIRS) -> None:
+        self._left = most
+
+    def take(self) -> bool:
+        if self._left <= 0:
+            return False
+        self._left -= 1
+        return True
+
+    def give(self) -> None:
+        self._left += 1
+
+
 class Link:
     """Connects, and connects again after a growing pause, which ends at once when a call needs it.
 
@@ -139,8 +161,10 @@
 
     def __init__(
         self, server: str, endpoint: str, clock: Clock, connect_ms: float, post: Post, poller: Poller,
-        spread_ms: float = 0.0, resting: bool = False,
+        spread_ms: float = 0.0, resting: bool = False, repairs: Repairs | None = None,
     ) -> None:
+        self._repairs = repairs or Repairs()
+        self._later_ms = -math.inf  # a silent connection is not replaced before this
         self.server, self.endpoint = server, endpoint
         self._clock, self._connect_ms, self._post, self._poller = clock, connect_ms, post, poller
         self._spread_ms = spread_ms
@@ -151,6 +175,7 @@
         self._resting = resting
         self._dial: Dial | None = None
         self._in_place = False  # the attempt is for one in place of a connection that has fallen silent
+        self._repairing = False  # and takes a descriptor beyond the share
         self._late_ms = -math.inf  # since then
         self._failures = 0
         self._next_ms = math.inf  # when to connect, if nobody needs it before
@@ -181,12 +206,14 @@
             connection.close()
         self._poller.do(self._end)
 
-    def send(self, data: bytes, epoch: int | None = None, tag: str = "") -> None:
+    def send(
+        self, data: bytes, epoch: int | None = None, tag: str = "", gate: m.WriteGate | None = None
+    ) -> None:
         """Write on the connection of that number, or on the present one; one that is gone says so itself."""
         with self._lock:
             connection = self._connection if epoch is None or epoch == self._epoch else None
         if connection is not None:
-            connection.post(data, tag)
+            connection.post(data, tag, gate)
 
     def withdraw(self, tag: str) -> set[str]:
         with self._lock:
@@ -210,6 +237,7 @@
         if self._dial is not None:
             self._dial.end()
             self._dial = None
+        self._repaired()
         if self._connection is not None:
             self._connection.finish(1000, "not needed")
             self._down(self._connection)
@@ -230,6 +258,7 @@
 
     def _dialled(self, sock: socket.socket | None, problem: Exception | None) -> None:
         self._dial = None
+        self._repaired()
         if self._in_place:
             self._replaced(sock, problem)
         elif sock is not None:
@@ -255,13 +284,15 @@
     def _up(self, sock: socket.socket) -> None:
         self._opened = False
         now_ms = self._clock.now_ms()
+        epoch = next(EPOCHS)
         connection = Connection(
-            sock, self._framing(), self._message, lambda: None, f"link {self.server}",
-            self._clock, now_ms + self._connect_ms, self._open, self._due, on_late=self._late,
+            sock, self._framing(), lambda line: self._message(line, epoch), lambda: None,
+            f"link {self.server}", self._clock, now_ms + self._connect_ms, self._open, self._due,
+            on_late=self._late,
         )
         self._heard_ms, self._states = now_ms, 0
         with self._lock:
-            self._epoch = next(EPOCHS)
+            self._epoch = epoch
             self._connection = connection
             ended = self._ended
         if ended:
@@ -306,6 +337,7 @@
             nonlocal over
             if not over:
                 over = True
+                self._repairs.give()
                 self._poller.forget(sock)
                 connection.end()
 
@@ -323,10 +355,10 @@
             self._connection = None
         self._armed_ms = math.inf
         self._poller.forget(self._sock)
-        if again is None:
-            connection.end()
-        else:
+        if again is not None and self._repairs.take():
             self._hear_out(connection, self._sock)
+        else:
+            connection.end()
         if self._in_place and self._dial is not None:  # what was meant to take its place may still come up
             self._in_place = False
         self._dropped = False
@@ -354,6 +386,7 @@
         if self._dial is not None:
             self._dial.end()
             self._dial = None
+        self._repaired()
         if (connection := self._connection) is not None:
             self._down(connection)
 
@@ -371,7 +404,7 @@
     def _due(self, half_ms: float) -> float:
         """When the connection is of no further use if nothing has come by then."""
         late_ms = math.inf if self._in_place else self._heard_ms + LATE_PULSE * self._gap_ms + LATE_MS
-        return min(late_ms, half_ms + HALF_MS)
+        return min(max(late_ms, self._later_ms), half_ms + HALF_MS)
 
     def _pulse(self, now_ms: float) -> None:
         """A state came unasked.  The first of a connection comes with its opening, and tells no gap.
@@ -397,11 +430,22 @@
         A server that drains is silent too, and takes no new connection.  The old one is kept then, for what
         stands there: guards against calls cut in a drain.
         """
-        self._in_place, self._late_ms = True, self._clock.now_ms()
+        now_ms = self._clock.now_ms()
+        if self._dial is None and not self._repairs.take():
+            self._later_ms = now_ms + LATER_MS
+            return True
+        self._in_place, self._late_ms = True, now_ms
         if self._dial is None:
+            self._repairing = True
             self._connect()
         return True
 
+    def _repaired(self) -> None:
+        """What was being made in place of a silent connection is up, has failed, or is wanted no more."""
+        if self._repairing:
+            self._repairing = False
+            self._repairs.give()
+
     def _replaced(self, sock: socket.socket | None, problem: Exception | None) -> None:
         """How the attempt to connect in place of a silent connection came out."""
         self._in_place = False
@@ -423,14 +467,17 @@
         elif sock is not None:
             self._up(sock)
 
-    def _message(self, line: bytes) -> None:
-        self._heard_ms = now_ms = self._clock.now_ms()
+    def _message(self, line: bytes, epoch: int) -> None:
+        now_ms = self._clock.now_ms()
+        present = epoch == self._epoch  # not one that has been replaced and is heard out
+        if present:
+            self._heard_ms = now_ms
         try:
-            event = vocabulary.server_event(self.server, vocabulary.decode(line))
+            event = vocabulary.server_event(self.server, vocabulary.decode(line), not present)
         except vocabulary.UnreadableError as problem:
             # What follows on this connection can't be trusted either: its calls get their ends by the reset.
             raise OverError(f"a message that can't be read: {problem}", foul=True) from problem
-        if isinstance(event, m.ServerTold) and not event.token:
+        if present and isinstance(event, m.ServerTold) and not event.token:
             self._pulse(now_ms)
         if event is not None:
             self._post(event)
@@ -453,6 +500,7 @@
         self._links: dict[str, Link] = {}
         self._awake: dict[str, None] = {}  # the servers whose links do not rest, longest unused first
         self.poller = Poller(clock, name)
+        self._repairs = Repairs()
         self._thread: threading.Thread | None = None
 
     def open(self, server: str, endpoint: str) -> None:
@@ -462,7 +510,8 @@
         spread_ms = OPEN_MS * len(self._links) + FLEET_MS * self._fleet
         resting = len(self._awake) >= self._most
         self._links[server] = Link(
-            server, endpoint, self._clock, self._connect_ms, self._post, self.poller, spread_ms, resting
+            server, endpoint, self._clock, self._connect_ms, self._post, self.poller, spread_ms, resting,
+            self._repairs,
         )
         if not resting:
             self._awake[server] = None
@@ -498,9 +547,11 @@
             del self._awake[server]
             self._links[server].rest()
 
-    def set_up(self, server: str, epoch: int, request: m.SetUp, left_ms: float) -> None:
+    def set_up(
+        self, server: str, epoch: int, request: m.SetUp, left_ms: float, gate: m.WriteGate
+    ) -> None:
         if (link := self._use(server)) is not None:
-            link.send(vocabulary.set_up_bytes(request, left_ms), epoch, request.id)
+            link.send(vocabulary.set_up_bytes(request, left_ms), epoch, request.id, gate)
 
     def withdraw(self, server: str, call_id: str = "") -> set[str]:
         return link.withdraw(call_id) if (link := self._links.get(server)) is not None else set()
--- a/capershelf/net/vocabulary.py
+++ b/capershelf/net/vocabulary.py
@@ -215,8 +215,8 @@
     return api.Report.of(found)
 
 
-def server_event(server: str, message: dict[str, Any]) -> m.Event | None:
-    """What a booking server says; None for what means nothing."""
+def server_event(server: str, message: dict[str, Any], replaced: bool = False) -> m.Event | None:
+    """What a booking server says, perhaps on a connection that was replaced; None for what means nothing."""
     kind = message["type"]
     if kind in ("progress", "released", "ping"):
         return None
@@ -229,12 +229,12 @@
     if kind == "pong":
         return m.ServerTold(server, report or api.Report(), named, cause_of(message, named) != 0)
     if kind == "answer":
-        return m.ServerAnswered(server, named, description_of(message, named), report)
+        return m.ServerAnswered(server, named, description_of(message, named), report, replaced)
     if kind == "release":
         cause = cause_of(message, named)
         result = RESULTS.get(cause, api.Result.ERROR)
         why = WHYS.get(str(fields.get("note", "")), api.Why.UNSAID)
-        return m.ServerReleased(server, named, cause, result, why, report)
+        return m.ServerReleased(server, named, cause, result, why, report, replaced)
     raise UnreadableError(f"unknown type {kind!r}", named)
 
 
--- a/lab/proxy.py
+++ b/lab/proxy.py
@@ -135,7 +135,7 @@
             self.keeper.touched(event.server)
         for action in actions:
             match action:
-                case api.Send(call, uid, timeout_ms):
+                case api.Send(call, uid, timeout_ms, _):
                     self._send(self.asked[call], next(s for s in self.servers if s.uid == uid), timeout_ms)
                 case api.Refuse(call, _):
                     self._final(call, "refused")
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -117,11 +117,11 @@
         self.attempts: list[tuple[float, str, str, float]] = []  # when, call, server, time left
         self.planner = self.node.planners[0]
         links = self.planner.servers
-        send: Callable[[str, int, m.SetUp, float], None] = links.set_up
+        send: Callable[[str, int, m.SetUp, float, m.WriteGate], None] = links.set_up
 
-        def noted(server: str, epoch: int, request: m.SetUp, left_ms: float) -> None:
+        def noted(server: str, epoch: int, request: m.SetUp, left_ms: float, gate: m.WriteGate) -> None:
             self.attempts.append((self.clock.now_ms() - 1_000_000.0, request.id, server, left_ms))
-            send(server, epoch, request, left_ms)
+            send(server, epoch, request, left_ms, gate)
 
         links.set_up = noted  # type: ignore[method-assign]
         self.node.start()
--- a/tests/test_caller_states.py
+++ b/tests/test_caller_states.py
@@ -66,7 +66,7 @@
         self.near.close()
         self.far.close()
 
-    def post(self, message: bytes, tag: str = "") -> bool:
+    def post(self, message: bytes, tag: str = "", gate: m.WriteGate | None = None) -> bool:
         self.said.append(json.loads(message))
         return True
 
--- a/tests/test_loopback.py
+++ b/tests/test_loopback.py
@@ -117,10 +117,10 @@
             while stage.servers[server].hear()["type"] != "setup":
                 pass
             stage.links[server].say("release", A, cause=cause, fields={"note": note})
-            call = stage.planner._calls
             n = seen
-            stage.until(lambda call=call, n=n: int(A, 16) not in call  # type: ignore[misc]
-                        or call[int(A, 16)].attempt is None or len(stage.attempts) > n)
+            # Over, held, sent again, or waiting until a second copy of this end can no longer be on its way.
+            stage.until(lambda n=n: (call := stage.planner._calls.get(int(A, 16))) is None  # type: ignore[misc]
+                        or call.attempt is None or call.attempt.epoch is None or len(stage.attempts) > n)
         stage.advance(100)
     assert outcome(caller.hear())[:3] == ("release", A, expected)
     assert 1 <= len(stage.attempts) <= 6
@@ -403,11 +403,11 @@
     for gap in (0.0, 130.0, 500.0, 510.0, 490.0):  # the first comes with the opening, out of step
         assert link._due(math.inf) == math.inf, "no pulse is known yet"
         clock.advance(gap)
-        link._message(state)
+        link._message(state, link._epoch)
     assert HALF_MS < 200.0, "what was called off meanwhile is sent again after its end"
     assert link._due(math.inf) == clock.now_ms() + 1.4 * 510.0 + 50.0
     clock.advance(300.0)
-    link._message(b'{"type":"released","id":"00000000000000a0"}')
+    link._message(b'{"type":"released","id":"00000000000000a0"}', link._epoch)
     assert link._due(math.inf) == clock.now_ms() + 764.0, "whatever comes shows that the connection lives"
     assert link._due(clock.now_ms()) == clock.now_ms() + HALF_MS, "half a message"
     clock.advance(800.0)
@@ -425,7 +425,7 @@
     for gap in (100.0, 900.0, 200.0, 200.0, 200.0):
         assert link._due(math.inf) == math.inf, "uneven: its silence tells nothing"
         clock.advance(gap)
-        link._message(state)
+        link._message(state, link._epoch)
     assert link._due(math.inf) < math.inf
     link.end()
     assert spare.closed.wait(PATIENCE_S)
@@ -451,7 +451,7 @@
     def late_and_then_heard() -> None:  # all before the new connection can be seen to be up
         link._late()
         clock.advance(5.0)
-        link._message(b'{"type":"released","id":"00000000000000a0"}')
+        link._message(b'{"type":"released","id":"00000000000000a0"}', link._epoch)
 
     link._poller.do(late_and_then_heard)
     unused = server.peer()
@@ -477,7 +477,7 @@
         assert old.recv(1) == b"", "the server sees that nothing more comes"
         old.sendall(b'{"type":"release","id":"%s","fields":{},"cause":16}\n' % A.encode())
         event = told.get(timeout=PATIENCE_S)
-        assert isinstance(event, m.ServerReleased) and event.id == A
+        assert isinstance(event, m.ServerReleased) and event.id == A and event.replaced
         clock.advance(HEAR_OUT_MS)
         link.end()
         assert new.recv(1) == b""
--- a/tests/test_planner_states.py
+++ b/tests/test_planner_states.py
@@ -32,6 +32,9 @@
 
     def over(self, call_id: str) -> None: ...
 
+    def waits(self, call_id: str) -> bool:
+        return self.outlived or self.open
+
     def elsewhere(self) -> m.Caller | None:
         return None
 
@@ -47,9 +50,15 @@
         self.not_before: dict[str, float] = {}
         self.drains, self.slow = set[str](), set[str]()
         self.waiting: dict[str, str] = {}  # in the outbox of a connection that is read slowly
+        self.gates: dict[str, m.WriteGate] = {}
 
-    def set_up(self, server: str, epoch: int, request: m.SetUp, left_ms: float) -> None:
+    def set_up(
+        self, server: str, epoch: int, request: m.SetUp, left_ms: float, gate: m.WriteGate
+    ) -> None:
         now_ms = self.clock.now_ms()
+        assert gate.may_begin(), "handed over though it must not begin"
+        if server in self.slow:
+            self.gates[request.id] = gate
         assert request.id not in self.out and request.id not in self.waiting, "two attempts out"
         assert server not in self.drains, "a set-up after its server's drain was told"
         assert now_ms >= self.not_before.get(request.id, 0.0), "sent again before its release"
@@ -72,7 +81,7 @@
     def withdraw(self, server: str, call_id: str = "") -> set[str]:
         found = {call for call, at in self.waiting.items() if at == server and call_id in ("", call)}
         for call in found:
-            del self.waiting[call]
+            del self.waiting[call], self.gates[call]
         return found
 
     def read(self, server: str) -> None:
@@ -80,7 +89,12 @@
         self.slow.discard(server)
         for call in [call for call, at in self.waiting.items() if at == server]:
             assert server not in self.drains, "a set-up written after its server's drain was told"
-            self.out[call] = self.waiting.pop(call)
+            del self.waiting[call]
+            gate = self.gates.pop(call)
+            if gate.may_begin():
+                self.out[call] = server
+            else:
+                gate.dropped()
 
     def written(self) -> bool:
         return True
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -192,7 +192,7 @@
     assert connection.post(b"y" * 40_000, "a")
 
     def begun() -> bool:
-        data, tag = connection._outbox[0]
+        data, tag, _ = connection._outbox[0]
         if tag == "a" and len(data) < 40_001:
             return True
         far.recv(1024)
