Deal a cold server's budget out over the fleet in turns that nobody saves up

Seen by reading: each proxy's share was 0.6 of the multiple of its own best rate, at least 4 / n; shares under one call were a gap since its last set-up. A best rate over few calls lies above the mean, so the sum of all did; a gap that had passed stayed passed, so idle proxies could all send in the same second; a restarted process began with a fresh share; and set-ups were counted where the module decided, up to a connect time-out before the write.

Lines at fault: Controller.in_cold_budget and the sent_at, cold_turn and cold_ms that it counted by.

What a server can do is what it told, what others of its size told or carry (Sight.carries); where nothing is seen, as before, 4 a window or the own rate. The price: a proxy can't use another's share.

--- a/capershelf/control.py
+++ b/capershelf/control.py
@@ -16,7 +16,7 @@
     NewCall, NewSettings, Probe, Recalled, Refuse, Report, Result, Send, ServerList, ServerReport,
     SetTimer, Settings, Standing, Stands, TimerFired, WayMended, Why,
 )
-from capershelf.sight import RATE_MS, Quotas, Rate, Sight, Terms
+from capershelf.sight import RATE_MS, Quotas, Rate, Sight, Terms, Turns
 
 # The detector, as the paper and the design page have it.
 RATIO = 1.2  # sent over answered above this, judged each interval, sets the overload flag
@@ -63,9 +63,7 @@
 STALL_MS = 150.0  # own pauses: a timer so late tells that this gateway itself stood still,
 WARY_MS = 10000.0  # which it may do again for so long;
 PULSE_MS = 100.0  # a timer this often notices it
-COLD_SAFETY = 0.6  # cold servers: share of the budget that is used
-SURE_SENDS = 4.0  # set-ups a window that a server can do, whoever knows nothing, from all gateways together
-PROOF = 3  # own answers of a cold server in a window that tell what it can do; fewer are chance
+SURE_SENDS = 4.0  # set-ups a window that a cold server can do, knowing nothing, from all senders together
 ASKED_SHARE = 0.4  # share of what is asked for that the servers can surely do, at the worst load and burst
 BEST_MS = 60000.0  # and the best of the answered rate in so long
 GONE_MS = 60000.0  # a server that is gone is remembered so long: one that comes back is taken for cold
@@ -127,9 +125,7 @@
         self.pressed_ms = -math.inf  # when its wait was last over the limit, or it was silent
         self.free_lines: float | None = None
         self.lines = 0.0
-        self.cold_turn = 0.0  # part of its gap that this sender still waits before a set-up to it while cold,
-        self.cold_ms = -math.inf  # counted from here
-        self.sent_at: deque[float] = deque()
+        self.turns = Turns(0, 1, 0.0)  # this sender's at it while it is cold
         self.answered_at: deque[float] = deque()
         self.errors: set[str] = set()  # numbers that failed there, and not elsewhere, since the last success
         self.failing = False  # silent for its errors
@@ -436,7 +432,7 @@
             if (gate := self.gates.get(listed.server)) is None:
                 rank = zlib.crc32(f"{self.settings.gateway_no}/{listed.server}".encode())
                 self.gates[listed.server] = gate = Gate(listed, rank, OVERTAKEN * self.limit_ms)
-                gate.cold_ms, gate.cold_turn = self.now_ms, self.random.random()
+                gate.turns = self.turns(gate)
                 gate.probed_ms = self.now_ms - self.random.random() * self.ask_ms
                 if (learned := self.recalled.pop(gate.id, None)) is not None:
                     gate.recall(learned)
@@ -448,7 +444,7 @@
             if listed.started_ms != gate.started_ms or came_back:
                 gate.started_ms = listed.started_ms or (self.now_ms if came_back else None)
                 gate.silent, gate.free_lines, gate.seen_wait_ms, gate.usual_rate = False, None, 0.0, 0.0
-                gate.cold_ms, gate.cold_turn = self.now_ms, self.random.random()
+                gate.turns = self.turns(gate)
         for gate in self.gates.values():
             gone = gate.standing is Standing.GONE
             gate.gone_ms = min(gate.gone_ms, self.now_ms) if gone else math.inf
@@ -691,26 +687,27 @@
             return math.inf
         return (self.now_ms - gate.started_ms) / self.settings.ramp_ms
 
+    def turns(self, gate: Gate) -> Turns:
+        """From its start, or from when it is heard of: a gateway that has just started begins with none.
+        Whose turn is first differs from server to server."""
+        slot = self.settings.gateway_no + zlib.crc32(gate.id.encode())
+        return Turns(slot, self.settings.gateway_count, self.now_ms)
+
     def in_cold_budget(self, gate: Gate) -> bool:
-        """Rule 4: this gateway's share of what a cold server may be sent in any window of that length."""
-        while gate.sent_at and gate.sent_at[0] <= self.now_ms - self.settings.fall_ms:
-            gate.sent_at.popleft()
+        """Rule 4: whether it is this gateway's turn at a cold server (sight/cold.py)."""
         if (age := self.warmth(gate)) >= 1.0:
             return True
         part = self.settings.cold_from + (1.0 - self.settings.cold_from) * max(0.0, age) ** 2
-        # What one server does for this sender: its part of the answers, or of what is asked for if none came.
-        rate = self.part(gate) * max(self.best_rate, ASKED_SHARE * self.asked.value(self.now_ms))
-        # What it answered in the last window it can do at least: if every sender keeps to the multiple of its
-        # own part of that, all together do.  Lets a cold server carry a fleet whose warm ones are gone.
-        lately = sum(1 for at_ms in gate.answered_at if at_ms > self.now_ms - self.settings.fall_ms)
-        able = max(part * rate * self.settings.fall_ms, lately if lately >= PROOF else 0)
-        budget = COLD_SAFETY * self.settings.fall_multiple * able
-        budget = max(budget, min(1.0, SURE_SENDS / self.settings.gateway_count))
-        if budget >= 1.0:
-            return len(gate.sent_at) + 1 <= budget
-        # A share under one is a longer gap, of which each sender waits a part drawn at random when it hears
-        # of the server: guards against hundreds that send "just one" when the list has news.
-        return self.now_ms - gate.cold_ms >= gate.cold_turn * self.settings.fall_ms / budget
+        if (carries := self.sight.carries(gate.id)) is not None:
+            able = carries / 1000.0
+        else:
+            # What it does for this sender, its part of the answers or of what is asked for if none came, for
+            # all of them: where each goes by its own, the sum is that of all.
+            rate = max(self.best_rate, ASKED_SHARE * self.asked.value(self.now_ms))
+            rate *= self.part(gate) * self.settings.gateway_count
+            able = max(rate, SURE_SENDS / (self.settings.fall_multiple * part * self.settings.fall_ms))
+        per_ms = self.settings.fall_multiple * part * able
+        return gate.turns.open(self.now_ms, per_ms, self.settings.fall_ms)
 
     def send(self, call: Call, gate: Gate) -> bool:
         """The one way out for an attempt; False if a rule forbids it now."""
@@ -735,9 +732,8 @@
         gate.set_ups += 1
         if gate.free_lines is not None:
             gate.free_lines = max(0.0, gate.free_lines - call.weight)  # until the next report
-        gate.sent_at.append(self.now_ms)
-        gate.tried_ms = gate.cold_ms = self.now_ms
-        gate.cold_turn = 1.0
+        gate.tried_ms = self.now_ms
+        begin_by_ms = gate.turns.take() if self.warmth(gate) < 1.0 else math.inf
         # Calls that waited pass a cleared gate at a pace: twice that of its answers near the threshold, more
         # the less it waits.  Guards a server that has just recovered from the queues of all senders.
         load = gate.wait_ms(self.now_ms, self.woke_ms) / self.limit_ms
@@ -753,7 +749,7 @@
         in_time = call.aim_at_ms > self.now_ms + self.limit_ms
         last_ms = call.aim_at_ms if in_time else self.now_ms + self.scale * LATE_TRY_MS
         call.timeout_ms = min(last_ms, call.expires_ms) - self.now_ms
-        self.actions.append(Send(call.id, gate.id, call.timeout_ms))
+        self.actions.append(Send(call.id, gate.id, call.timeout_ms, begin_by_ms))
         gate.refresh_flag(self.now_ms, self.limit_ms, bool(self.held), self.woke_ms)
         return True
 
--- /dev/null
+++ b/capershelf/sight/cold.py
@@ -0,0 +1,52 @@
+"""A sender's turns at one booking server that has just started: its share of the whole fleet's budget.
+
+Senders share nothing, so what they may send together is dealt out beforehand.  A counter runs at the pace at
+which the fleet may send, from when this sender heard of the server; each time it passes this sender's slot,
+and then each `count` further, a turn of this sender's opens.  A turn is one set-up, and it is over after half
+a window, used or not: nothing is saved up.  docs/cold.md argues the sum.  Pure: times (ms) come in.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+
+GIVEN = 0.6  # of what the rules let the fleet send in a window, so much is dealt out;
+OPEN = 0.5  # a turn stays open for so much of a window: in any window 0.6 * (1 + 0.5) of it at the most
+
+
+class Turns:
+    """One sender's turns, one of `count` senders; begins empty."""
+
+    __slots__ = ("_count", "_next", "_passed", "_at_ms", "_open")
+
+    def __init__(self, slot: int, count: int, now_ms: float) -> None:
+        self._count = count
+        self._next = float(slot % count + 1)  # where the counter opens the next turn
+        self._passed, self._at_ms = 0.0, now_ms
+        self._open: deque[float] = deque()  # until when each open turn lasts
+
+    def __len__(self) -> int:
+        return len(self._open)
+
+    def open(self, now_ms: float, per_ms: float, window_ms: float) -> bool:
+        """Whether a turn is open now.  per_ms: set-ups that the rules allow the fleet, over the time since
+        this was asked last."""
+        per_ms *= GIVEN
+        if now_ms > self._at_ms and per_ms > 0.0:
+            self._passed += per_ms * (now_ms - self._at_ms)
+            behind = self._passed - per_ms * OPEN * window_ms - self._next
+            if behind > 0.0:  # turns that are over by now
+                self._next += self._count * math.ceil(behind / self._count)
+            while self._next < self._passed:
+                opened_ms = now_ms - (self._passed - self._next) / per_ms
+                self._open.append(max(opened_ms, self._at_ms) + OPEN * window_ms)
+                self._next += self._count
+        self._at_ms = max(self._at_ms, now_ms)
+        while self._open and self._open[0] <= now_ms:
+            self._open.popleft()
+        return bool(self._open)
+
+    def take(self) -> float:
+        """Use the turn that is over first; until when its set-up must have begun."""
+        return self._open.popleft()
--- a/capershelf/sight/fleet.py
+++ b/capershelf/sight/fleet.py
@@ -64,6 +64,12 @@
     own_ms: float = -math.inf
 
 
+def _per_line(servers: list[Seen]) -> float | None:
+    """Set-ups a second for each line, over these servers."""
+    lines = sum(seen.lines for seen in servers)
+    return sum(seen.size.per_s or 0.0 for seen in servers) / lines if lines > 0 else None
+
+
 class Sight:
     """Estimates of all booking servers for one sender."""
 
@@ -73,6 +79,7 @@
         self.most_servers = 1
         self.most_lines = 0.0  # of all active servers together, at most
         self.ratio: float | None = None  # set-ups a second for each line, over the servers that have told
+        self.any_ratio: float | None = None  # the same of those that drain or are gone, where only these have
         self.least_lines = 0.0
         self.hold_ms, self.width, self.asked = 0.0, 1.0, 0.0
         self.asked_rate = Rate()  # set-ups asked of this sender, a ms
@@ -166,9 +173,10 @@
         self._ratio()
 
     def _ratio(self) -> None:
-        known = [s for s in self.servers.values() if s.active and s.lines > 0 and s.size.per_s is not None]
-        lines = sum(seen.lines for seen in known)
-        self.ratio = sum(seen.size.per_s or 0.0 for seen in known) / lines if lines > 0 else None
+        known = [s for s in self.servers.values() if s.lines > 0 and s.size.per_s is not None]
+        self.ratio = _per_line([seen for seen in known if seen.active])
+        of_any = self.ratio if self.ratio is not None else _per_line(known)
+        self.any_ratio = of_any if of_any is not None else self.any_ratio
 
     def per_s(self, seen: Seen) -> float | None:
         """Set-ups a second that it can do warm; by its lines where it has not told, None if neither."""
@@ -176,6 +184,22 @@
             return seen.size.per_s
         return seen.lines * self.ratio if seen.lines > 0 and self.ratio is not None else None
 
+    def carries(self, server: str) -> float | None:
+        """Set-ups a second that it can surely do, warm: by what it told, or by what others of its size told
+        or, where none tells, carry; None where nothing is seen of any."""
+        seen = self.servers[server]
+        if seen.size.per_s is not None:
+            return seen.size.per_s / (1.0 + seen.size.error)
+        lines = seen.lines or self.least_lines
+        if lines <= 0.0:
+            return None
+        if self.any_ratio is not None:
+            return lines * self.any_ratio / (1.0 + LINES_ERROR)
+        others = [one for one in self.servers.values()
+                  if one is not seen and one.active and one.lines > 0.0 and one.flow.per_s is not None]
+        carried = sum(one.flow.per_s or 0.0 for one in others)
+        return lines * carried / sum(one.lines for one in others) if carried > 0.0 else None
+
     def share(self, server: str) -> float:
         """The server's part of what all can do: by what they told, by their lines, or all alike."""
         seen = self.servers[server]
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -88,11 +88,14 @@
 
 
 def test_a_replacement_takes_the_calls_held_for_its_place() -> None:
+    """In this gateway's turn: it is cold, and may be sent about 46 set-ups in 3 s by all four together."""
     rig = Rig(servers=1)
+    rig.tell(api.ServerReport("s0", api.Result.OK, api.Report(10.0, 10.0, None, 50.0), False))
     rig.list_of(listed("s0", 0, api.Standing.DRAINING), whole=False)
     rig.call(1)
     assert not rig.of(api.Send)
     rig.list_of(listed("n0", 0, started_ms=rig.now_ms), whole=False)
+    rig.tick(4.0 * 3000.0 / 46.0)
     assert [send.server for send in rig.of(api.Send)] == ["n0"]
 
 
