Close idle clients outright for newcomers, and let none in before a place is free

Seen: 48 clients that connect, say nothing and never hang up, at a front of 8 places: each newcomer had four others hung up on by shutting one side and was let in at once, while those kept their descriptors until their own time (2 to 6 s) was over. So a flood that does not hang up could fill what is kept aside for list and links. And from 100 newcomers a second on, new callers with a set-up were hung up on for idle ones.

Lines at fault: Listener._admit and _make_room, Session.retire; LEAST_LINKS over small limits in node.py.

The change: those that make room are closed outright and a newcomer waits (0.1 s at most) until a place is free; silent ones make room whatever their number, for a socket with anything unread is never closed; half a message is closed after none. Callers' share leaves the list's, and eight links', descriptors where few are allowed.

--- a/capershelf/fronts/listener.py
+++ b/capershelf/fronts/listener.py
@@ -17,6 +17,7 @@
 
 ROOM = 4  # callers that are hung up on at a time when the front is full
 ROOM_PER_MS, MOST_ROOM = 0.1, 100.0  # and so many in time: turning the others away costs less
+ROOM_LOOKS = 10  # looks at whether those that were hung up on are gone
 PAUSE_S = 0.05  # before the next accept where one has failed
 END_S = 0.01  # between two looks at who is still there, at the end
 TURNED_AWAY = 8  # callers over the limit that may be told so at a time; the next are hung up on
@@ -35,7 +36,7 @@
         house.ended, house.peer_of = self._ended, self._peer_of
         self._sessions: set[Session] = set()
         self._lock = threading.Lock()
-        self._pause = threading.Event()
+        self._pause, self._left = threading.Event(), threading.Event()
         self._closing = False
         self._may, self._may_ms = MOST_ROOM, house.clock.now_ms()
         host, port = parse_endpoint(listen)
@@ -69,7 +70,7 @@
     def _admit(self, sock: socket.socket, name: str) -> None:
         with self._lock:
             connected = len(self._sessions)
-        full = connected >= self._most and not self._make_room(ROOM)
+        full = connected >= self._most and not (self._make_room(ROOM) and self._has_room())
         framing = self._framing(full) if connected < self._most + TURNED_AWAY else None
         if full or framing is None:
             MUFFLE.warn(self._house.clock.now_ms(), "{peer}: turned away, {count} callers are connected",
@@ -93,22 +94,41 @@
         """Hang up on those who need it least: the oldest that never spoke, else the longest without a call.
 
         Guards the usual callers against hundreds that connect and say nothing, or ask once and stay.  Some
-        go at a time, and so many a second: guards the planners' share of the processor from a crowd's.
+        go at a time, and of those that have spoken so many a second: guards the planners' share of the
+        processor from a crowd's.  Those that never spoke go whatever their number: the newcomer may be a
+        caller with a set-up, and of one that has sent anything the socket shows it (quiet()).
         """
         now_ms = self._house.clock.now_ms()
-        self._may = min(MOST_ROOM, self._may + (now_ms - self._may_ms) * ROOM_PER_MS)
-        self._may_ms = now_ms
-        if self._may < most:
-            return False
-        self._may -= most
         with self._lock:
             found = [session for session in self._sessions if session.spare()]
-        found.sort(key=lambda session: (not session.silent, session.at_ms))
-        return sum(session.retire("the front is full") for session in found[:most]) > 0
+        found.sort(key=lambda session: (not session.silent, session.connection.half(), session.at_ms))
+        found = found[:most]
+        if not all(one.silent for one in found):
+            self._may = min(MOST_ROOM, self._may + (now_ms - self._may_ms) * ROOM_PER_MS)
+            self._may_ms = now_ms
+            if self._may < most:
+                return False
+            self._may -= most
+        return sum([session.retire("the front is full", at_once=True) for session in found]) > 0
+
+    def _has_room(self) -> bool:
+        """Whether one of those that were hung up on has given its descriptor back.
+
+        Guards the descriptors of the list and the links from peers that are hung up on and never hang up
+        themselves: nobody is let in before a place is free.
+        """
+        for _ in range(ROOM_LOOKS):
+            with self._lock:
+                if len(self._sessions) < self._most:
+                    return True
+            self._left.wait(END_S)
+            self._left.clear()
+        return False
 
     def _ended(self, session: Session) -> None:
         with self._lock:
             self._sessions.discard(session)
+        self._left.set()
 
     def _peer_of(self, caller: Session) -> Session | None:
         """Another open session of the same caller host."""
--- a/capershelf/node.py
+++ b/capershelf/node.py
@@ -47,13 +47,17 @@
 
 
 def callers_share(config: Config) -> int:
-    """How many callers may be connected: a third of the descriptors, and what the memory has room for."""
-    return min(config.sockets // 3, int(max(0.0, config.memory_mb - OWN_MB) / CALLER_MB))
+    """How many callers may be connected: a third of the descriptors, and what the memory has room for.
+
+    Less where few descriptors are allowed: those of the list and of some links are kept aside from callers.
+    """
+    sockets = min(config.sockets // 3, config.sockets - OWN_SOCKETS - LEAST_LINKS * config.planners)
+    return max(1, min(sockets, int(max(0.0, config.memory_mb - OWN_MB) / CALLER_MB)))
 
 
 def links_share(config: Config) -> int:
     """How many booking servers one planner may be connected to: what callers and the rest leave."""
-    sockets = config.sockets - config.sockets // 3 - OWN_SOCKETS
+    sockets = config.sockets - min(config.sockets // 3, callers_share(config)) - OWN_SOCKETS
     memory_mb = config.memory_mb - OWN_MB - CALLER_MB * callers_share(config)
     return max(LEAST_LINKS, min(sockets, int(memory_mb / LINK_MB)) // config.planners)
 
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -33,9 +33,9 @@
 class BoardStandIn:
     """Keeps each poll open until the test answers it."""
 
-    def __init__(self) -> None:
+    def __init__(self, port: int = 0) -> None:
         self.polls: queue.SimpleQueue[tuple[str, socket.socket]] = queue.SimpleQueue()
-        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.listener = socket.create_server(("127.0.0.1", port))
         self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
         threading.Thread(target=self._accept, daemon=True).start()
 
