--- a/capershelf/cli.py
+++ b/capershelf/cli.py
@@ -5,7 +5,6 @@
 import importlib
 import os
 import signal
-from importlib import metadata
 from typing import TYPE_CHECKING
 
 import click
@@ -138,6 +137,8 @@
 @main.command()
 def version() -> None:
     """Print the version."""
+    from importlib import metadata  # a fifth of all that `serve` would import, which has no use for it
+
     try:
         click.echo(metadata.version("capershelf"))
     except metadata.PackageNotFoundError:  # run from a checkout
--- a/capershelf/fronts/listener.py
+++ b/capershelf/fronts/listener.py
@@ -38,13 +38,14 @@
         self._lock = threading.Lock()
         self._pause, self._left = threading.Event(), threading.Event()
         self._closing = False
+        self._thread: threading.Thread | None = None
         self._may, self._may_ms = MOST_ROOM, house.clock.now_ms()
         host, port = parse_endpoint(listen)
         self._sock = socket.create_server((host, port), backlog=1024)
         self.port: int = self._sock.getsockname()[1]
 
     def start(self) -> None:
-        start_thread(self._run, "listener")
+        self._thread = start_thread(self._run, "listener")
 
     def _run(self) -> None:
         while True:
@@ -149,7 +150,12 @@
         self._sock.close()
 
     def close_all(self, by_ms: float = -math.inf) -> None:
-        """Hang up on everyone: each once it is owed nothing and nothing of it is unread, or at by_ms."""
+        """Hang up on everyone: each once it is owed nothing and nothing of it is unread, or at by_ms.
+
+        After the accepting thread's last: guards the caller that it was just letting in.
+        """
+        while self._thread is not None and self._thread.is_alive() and self._house.clock.now_ms() < by_ms:
+            self._pause.wait(END_S)
         while True:
             with self._lock:
                 sessions = list(self._sessions)
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -5,21 +5,27 @@
 import json
 import math
 import queue
+import signal
 import socket
+import threading
+from pathlib import Path
 from typing import Any
 
+import pytest
+
 from capershelf import interface as api
 from capershelf.core import model as m
 from capershelf.core.clock import ManualClock, SystemClock
 from capershelf.core.planner import Planner
 from capershelf.fronts.listener import Listener
 from capershelf.fronts.session import House
-from capershelf.net.connection import Connection
+from capershelf.net.connection import Connection, parse_endpoint, start_thread
 from capershelf.net.framing import Lines
 from capershelf.net.vocabulary import Terms
-from tests.peers import PATIENCE_S, Peer, until
+from tests.peers import PATIENCE_S, BookingServer, Peer, until
 from tests.rig import listed, settings
 from tests.test_planner_states import FakeCaller, FakeServers
+from tests.test_reload import Program, table
 
 SETTINGS = settings(release_ms=200.0)
 
@@ -137,6 +143,31 @@
     assert caller.closed.wait(PATIENCE_S)
 
 
+def test_a_caller_that_is_just_being_let_in_at_the_close_is_answered(monkeypatch: pytest.MonkeyPatch) -> None:
+    door, inside, on = Door(), threading.Event(), threading.Event()
+    admit = door.listener._admit
+
+    def held(sock: socket.socket, name: str) -> None:
+        inside.set()
+        assert on.wait(PATIENCE_S)
+        admit(sock, name)
+
+    monkeypatch.setattr(door.listener, "_admit", held)
+    door.listener.start()
+    caller = door.caller()
+    door.set_up(caller, "00000000000000a1")
+    assert inside.wait(PATIENCE_S)
+    door.house.close()
+    door.listener.stop_accepting()
+    over = start_thread(
+        lambda: door.listener.close_all(door.house.clock.now_ms() + 1000.0 * PATIENCE_S), "close")
+    until(lambda: door.listener._closing)
+    assert over.is_alive(), "the accepting thread still has one in hand"
+    on.set()
+    assert caller.hear() == {"type": "release", "id": "00000000000000a1", "fields": {}, "cause": 34}
+    assert caller.closed.wait(PATIENCE_S)
+
+
 def test_a_set_up_taken_is_owed_until_its_outcome_and_none_is_taken_after_the_close() -> None:
     door = Door()
     door.listener.start()
@@ -285,3 +316,64 @@
     go_on(planner)
     assert callers[0].heard[1:] == [m.Ended(request(1).id, m.CUT)]
     assert not callers[1].heard[1:]
+
+
+def test_every_call_taken_ends_once_where_a_process_is_told_to_stop(tmp_path: Path) -> None:
+    """One call is out, one waits for its release again and again, one for a connection, one stands, one comes
+    after the signal."""
+    silent, resets = BookingServer(False), BookingServer(False)
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        listen = f"127.0.0.1:{free.getsockname()[1]}"
+    never = socket.create_server(("127.0.0.1", 0), backlog=0)  # once it is full, no connection comes up
+    fillers = []
+    for _ in range(4):
+        fillers.append(socket.socket())
+        fillers[-1].setblocking(False)
+        fillers[-1].connect_ex(never.getsockname())
+    endpoints = [silent.endpoint, resets.endpoint, "{}:{}".format(*never.getsockname())]
+    targets = [{"uid": f"s{n}", "endpoint": endpoint, "pod_group": n, "state": "up", "boot_ms": 0}
+               for n, endpoint in enumerate(endpoints)]
+    config = table("") | {"listen": listen, "known": {
+        "rev": 1, "notices": [{"rev": 1, "pool": {"rev": 1, "all": True, "targets": targets}}]}}
+    places = [[0, 1, 2] for _ in config["settings"]["categories"]]
+    config["settings"]["family-info"]["pools-by-class"] = places
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(config))
+    program = Program(path)
+    try:
+        program.says("serves on")
+        links = [silent.peer(), resets.peer()]
+        caller = Peer(socket.create_connection(parse_endpoint(listen)), Lines(), queue.SimpleQueue())
+        calls = {name: f"{number:016x}" for number, name in enumerate(
+            ("stands", "out", "reset", "connects", "late"), 0xA0)}
+        caller.set_up(calls["stands"], extras="dest:1")
+        assert resets.hear()["type"] == "setup"
+        links[1].say("answer", calls["stands"], sdp="v=0")
+        assert caller.hear()["type"] == "answer"
+
+        def reset() -> None:
+            while True:
+                if (got := resets.got.get())["type"] == "setup":
+                    links[1].say("release", got["id"], cause=41)
+
+        threading.Thread(target=reset, daemon=True).start()
+        for place, name in enumerate(("out", "reset", "connects")):
+            caller.set_up(calls[name], extras=f"dest:{place}")
+        assert silent.hear()["type"] == "setup"
+        program.process.send_signal(signal.SIGTERM)
+        program.says("told to stop")
+        caller.set_up(calls["late"], extras="dest:1")
+        heard: dict[str, list[str]] = {}
+        while sum(map(len, heard.values())) < 4:
+            got = caller.hear()
+            heard.setdefault(got["id"], []).append(got["type"])
+        assert heard == {calls[name]: ["release"] for name in ("out", "reset", "connects", "late")}
+        links[1].say("release", calls["stands"], cause=16)  # and what stands is still told its end
+        assert caller.hear()["id"] == calls["stands"]
+        assert program.process.wait(PATIENCE_S) == 0
+        assert caller.closed.wait(PATIENCE_S) and caller.got.empty()
+    finally:
+        program.process.kill()
+        program.process.wait()
+        for sock in (never, *fillers):
+            sock.close()
