--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -162,6 +162,29 @@
     assert callers <= sockets // 3 and links >= LEAST_LINKS
 
 
+def session_on(near: socket.socket) -> front.Session:
+    house = House(SystemClock(), Terms.of(settings()), lambda call: lambda event: None, lambda event: 1,
+                  lambda: True, False)
+    house.ended = lambda session: None
+    return front.Session(near, Lines(), "127.0.0.1:1", house)
+
+
+def test_a_set_up_in_the_moment_of_an_idle_connections_close_is_kept_or_crosses_the_close() -> None:
+    """Its session is held up: what lies in the socket is not read yet."""
+    line = json.dumps({"type": "setup", "id": "00000000000000a1", "sdp": "v=0",
+                       "fields": {"class": "usual", "left": "5000"}}).encode() + b"\n"
+    near, far = socket.socketpair()
+    session = session_on(near)
+    far.sendall(line)
+    assert not session.retire("full", at_once=True), "it would be closed on unread"
+    assert session.connection.step(True) and not session.spare()
+    assert not session.retire("full", at_once=True), "a set-up is open on it"
+    near, far = socket.socketpair()
+    session = session_on(near)
+    assert session.retire("full", at_once=True)
+    assert far.recv(1) == b"", "its client sees the close, and sends what crosses it once more"
+
+
 class NoPoller:
     """Notes what it is told to do, and does none of it."""
 
