Keep a release for the next connection where none to its server is up

Seen by reading: Planner._caller_released and the answer that stands for nobody hand a release to the link, which drops it where no connection is up; the server keeps the line until the call ends by itself.

Result: tests/test_crossings.py, fails without the keeping and without its end. tests/test_reload.py: SIGTERM and SIGINT between the first line and the listening socket, the program held at the line that reads its configuration (obeyed before, too). The test of an answer that crosses its connection's end now lets the next connection come up, on which the release goes out.

--- a/capershelf/core/model.py
+++ b/capershelf/core/model.py
@@ -219,6 +219,7 @@
     draining: bool = False  # listed so: nothing new is written to it
     started_ms: float = -math.inf  # its process, as the list tells; -inf: it does not say
     calls: dict[int, Call] = field(default_factory=dict)  # out at it or standing there
+    unsaid: dict[str, int] = field(default_factory=dict)  # releases (cause) that wait for a connection
 
 
 # What comes into a planner's inbox.
--- a/capershelf/core/planner.py
+++ b/capershelf/core/planner.py
@@ -290,7 +290,7 @@
         if call.state is m.State.OPEN:
             self._leave(call)
         else:
-            self.servers.release(call.server, call.request.id, event.cause)
+            self._release(call.server, call.request.id, event.cause)
             self._end_standing(call, api.Result.OK)
             if event.caller is not call.caller:
                 event.caller.over(event.id)
@@ -346,7 +346,7 @@
             self._say(call, m.Refused(call.request.id))
         elif call.state is m.State.STANDS and isinstance(call.unheard, m.Answered):
             # Its caller never came back for the answer: what stands is released, once.
-            self.servers.release(call.server, call.request.id, m.NORMAL)
+            self._release(call.server, call.request.id, m.NORMAL)
             self._end_standing(call, api.Result.OK)
 
     def _last_words(self) -> None:
@@ -395,14 +395,14 @@
             # Of a call that is none of ours, or was ended at the server when it was ended here; but where the
             # connection broke and was heard out, the server does not know that nobody has it.
             if self._reset_at.get(int(event.id, 16)) == event.server:
-                self.servers.release(event.server, event.id, m.NORMAL)
+                self._release(event.server, event.id, m.NORMAL)
             return
         if attempt is None or not ours:
             # To an earlier attempt there, on a connection that is heard out: a release by this id would end
             # the one that is out now.
             if not there and (call.state is not m.State.STANDS or call.server != event.server):
                 # Guards against a call that stands for nobody: it was given up while this was on its way.
-                self.servers.release(event.server, event.id, m.NORMAL)
+                self._release(event.server, event.id, m.NORMAL)
             return
         attempt.end()
         call.attempt = None
@@ -485,7 +485,7 @@
             # Guards against a set-up that leaves an outbox when its call is out elsewhere already.
             call.request.id not in self.servers.withdraw(attempt.server, call.request.id)
         ):
-            self.servers.release(attempt.server, call.request.id, m.NORMAL)
+            self._release(attempt.server, call.request.id, m.NORMAL)
         self._feed(api.AttemptOver(
             call.request.key, attempt.number, attempt.server, result, settled, why, None, report
         ))
@@ -504,11 +504,26 @@
                 server.calls.pop(call.request.key, None)
                 self._rest_if_shut(server)
 
+    def _release(self, server_id: str, call_id: str, cause: int) -> None:
+        """Say it now, or on the next connection: guards a server's lines from calls that nobody has.
+
+        Not to one that drains: it takes no new connection, and ends with what it has.
+        """
+        server = self._known.get(server_id)
+        if server is None or server.epoch is not None or server.gone or server.draining:
+            self.servers.release(server_id, call_id, cause)
+            return
+        server.unsaid[call_id] = cause
+        self._made_room(self.servers.wake(server_id))
+
     # -- links ----------------------------------------------------------------------------------------
     def _link_up(self, event: m.LinkUp) -> None:
         if (server := self._known.get(event.server)) is None:
             return
         server.epoch, server.down_ms = event.epoch, math.inf
+        unsaid, server.unsaid = server.unsaid, {}
+        for call_id, cause in unsaid.items():
+            self.servers.release(server.id, call_id, cause)
         if event.mended:
             self._feed(api.WayMended(event.server))
         for call in list(server.calls.values()):
@@ -541,6 +556,7 @@
         """Guards against callers left on calls at a server that vanished without a word."""
         if server.epoch is None and self.clock.now_ms() - server.down_ms >= LOST_AFTER_MS - 1.0:
             self._cut_all(server)
+            server.unsaid.clear()
 
     def _cut_all(self, server: m.ServerState) -> None:
         for call in list(server.calls.values()):
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -16,7 +16,7 @@
 from capershelf import interface as api
 from capershelf.core import model as m
 from capershelf.core.clock import SystemClock
-from capershelf.core.planner import LATE_ANSWER_MS, Planner
+from capershelf.core.planner import LATE_ANSWER_MS, LOST_AFTER_MS, Planner
 from capershelf.net.connection import Connection
 from capershelf.net.framing import Lines
 from tests.peers import PATIENCE_S, Peer, Stage, until
@@ -386,10 +386,36 @@
     clock.advance(late_ms)
     go_on(planner)
     planner.inbox.put(m.ServerAnswered("s0", request(1).id, "sdp", None, True))
+    planner.inbox.put(m.LinkUp("s0", 2))
     go_on(planner)
     assert bool(servers.standing) is (late_ms > 0.0) and len(caller.heard) == 1
 
 
+def test_a_call_that_its_caller_ends_while_no_connection_is_up_is_released_on_the_next() -> None:
+    planner, servers, clock = planner_with()
+    caller = FakeCaller(False)
+    planner.inbox.put(m.SetUpCame(request(1), caller))
+    go_on(planner)
+    servers.out.clear()
+    servers.standing[request(1).id] = "s0"
+    planner.inbox.put(m.ServerAnswered("s0", request(1).id, "sdp", None))
+    planner.inbox.put(m.LinkDown("s0", 1))
+    planner.inbox.put(m.CallerReleased(request(1).id, m.NORMAL, caller))
+    go_on(planner)
+    assert servers.standing, "there is no way to say it"
+    clock.advance(100.0)
+    planner.inbox.put(m.LinkUp("s0", 2))
+    go_on(planner)
+    assert not servers.standing
+    # One that stays away for so long that its calls count as cut is told nothing of them later.
+    planner._known["s0"].unsaid["x"] = m.NORMAL
+    planner.inbox.put(m.LinkDown("s0", 2))
+    go_on(planner)
+    clock.advance(LOST_AFTER_MS)
+    go_on(planner)
+    assert not planner._known["s0"].unsaid
+
+
 def test_one_action_that_can_not_be_carried_out_does_not_cost_those_after_it(
     monkeypatch: pytest.MonkeyPatch
 ) -> None:
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -151,6 +151,23 @@
     assert program.process.wait(PATIENCE_S) == 0
 
 
+@pytest.mark.parametrize("told", [signal.SIGTERM, signal.SIGINT])
+def test_a_signal_between_the_first_line_and_the_listening_socket_is_obeyed_once_it_serves(
+    tmp_path: Path, told: signal.Signals
+) -> None:
+    """Held at the very line that reads its configuration, which is a pipe that nobody has written to."""
+    path = tmp_path / "config.json"
+    os.mkfifo(path)
+    program = Program(path)
+    config = os.open(path, os.O_WRONLY)  # returns once the program has opened it
+    program.process.send_signal(told)
+    os.write(config, json.dumps(table("")).encode())
+    os.close(config)
+    program.says("serves on")
+    program.says("told to stop")
+    assert program.process.wait(PATIENCE_S) == 0
+
+
 def test_a_stopping_proxy_follows_a_board_that_moves(run: Callable[..., tuple[Program, Path]]) -> None:
     """Told to stop, moved twice, between them a file that is only half there; a call that stands keeps it."""
     old, new, newest, server = BoardStandIn(), BoardStandIn(), BoardStandIn(), BookingServer(False)
