Let a turn at a cold server wait for a call as long as the multiple leaves room

The change: dealt out is 0.9 of what the server can do, N / multiple, and a turn lasts multiple - 1 windows, both from the settings' tip-multiple (sight/cold.lasts, dealt). The bound stays 0.9 N + 1.

--- a/capershelf/control.py
+++ b/capershelf/control.py
@@ -125,7 +125,7 @@
         self.pressed_ms = -math.inf  # when its wait was last over the limit, or it was silent
         self.free_lines: float | None = None
         self.lines = 0.0
-        self.turns = Turns(0, 1, 0.0)  # this sender's at it while it is cold
+        self.turns = Turns(0, 1, 0.0, 1.0)  # this sender's at it while it is cold
         self.answered_at: deque[float] = deque()
         self.errors: set[str] = set()  # numbers that failed there, and not elsewhere, since the last success
         self.failing = False  # silent for its errors
@@ -691,7 +691,7 @@
         """From its start, or from when it is heard of: a gateway that has just started begins with none.
         Whose turn is first differs from server to server."""
         slot = self.settings.gateway_no + zlib.crc32(gate.id.encode())
-        return Turns(slot, self.settings.gateway_count, self.now_ms)
+        return Turns(slot, self.settings.gateway_count, self.now_ms, self.settings.fall_multiple)
 
     def in_cold_budget(self, gate: Gate) -> bool:
         """Rule 4: whether it is this gateway's turn at a cold server (sight/cold.py)."""
--- a/capershelf/sight/cold.py
+++ b/capershelf/sight/cold.py
@@ -2,8 +2,8 @@
 
 Senders share nothing, so what they may send together is dealt out beforehand.  A counter runs at the pace at
 which the fleet may send, from when this sender heard of the server; each time it passes this sender's slot,
-and then each `count` further, a turn of this sender's opens.  A turn is one set-up, and it is over after half
-a window, used or not: nothing is saved up.  docs/cold.md argues the sum.  Pure: times (ms) come in.
+and then each `count` further, a turn of this sender's opens.  A turn is one set-up, and it is over after some
+windows, used or not: nothing is saved up.  docs/cold.md argues the sum.  Pure: times (ms) come in.
 """
 
 from __future__ import annotations
@@ -11,17 +11,33 @@
 import math
 from collections import deque
 
-GIVEN = 0.6  # of what the rules let the fleet send in a window, so much is dealt out;
-OPEN = 0.5  # a turn stays open for so much of a window: in any window 0.6 * (1 + 0.5) of it at the most
+MOST = 0.9  # of what the rules let the fleet send in any window, it is sent no more
+LEAST_OPEN = 0.25  # windows that a turn lasts at the least
+
+
+def lasts(multiple: float) -> float:
+    """Windows for which a turn stays open.
+
+    What is sent in a window used turns that opened in it or so long before it.  More than a server can do is
+    of no use to it: dealt out is MOST of that, a multiple-th of what the rules allow, and the rest of it goes
+    into the time for which a turn waits for a call.
+    """
+    return max(LEAST_OPEN, multiple - 1.0)
+
+
+def dealt(multiple: float) -> float:
+    """The part of what the rules allow in a window that is dealt out in one."""
+    return MOST / (1.0 + lasts(multiple))
 
 
 class Turns:
     """One sender's turns, one of `count` senders; begins empty."""
 
-    __slots__ = ("_count", "_next", "_passed", "_at_ms", "_open")
+    __slots__ = ("_count", "_next", "_passed", "_at_ms", "_open", "_dealt", "_lasts")
 
-    def __init__(self, slot: int, count: int, now_ms: float) -> None:
+    def __init__(self, slot: int, count: int, now_ms: float, multiple: float) -> None:
         self._count = count
+        self._dealt, self._lasts = dealt(multiple), lasts(multiple)
         self._next = float(slot % count + 1)  # where the counter opens the next turn
         self._passed, self._at_ms = 0.0, now_ms
         self._open: deque[float] = deque()  # until when each open turn lasts
@@ -32,15 +48,16 @@
     def open(self, now_ms: float, per_ms: float, window_ms: float) -> bool:
         """Whether a turn is open now.  per_ms: set-ups that the rules allow the fleet, over the time since
         this was asked last."""
-        per_ms *= GIVEN
+        per_ms *= self._dealt
+        lasts_ms = self._lasts * window_ms
         if now_ms > self._at_ms and per_ms > 0.0:
             self._passed += per_ms * (now_ms - self._at_ms)
-            behind = self._passed - per_ms * OPEN * window_ms - self._next
+            behind = self._passed - per_ms * lasts_ms - self._next
             if behind > 0.0:  # turns that are over by now
                 self._next += self._count * math.ceil(behind / self._count)
             while self._next < self._passed:
                 opened_ms = now_ms - (self._passed - self._next) / per_ms
-                self._open.append(max(opened_ms, self._at_ms) + OPEN * window_ms)
+                self._open.append(max(opened_ms, self._at_ms) + lasts_ms)
                 self._next += self._count
         self._at_ms = max(self._at_ms, now_ms)
         while self._open and self._open[0] <= now_ms:
