--- a/lab/fleet/script.py
+++ b/lab/fleet/script.py
@@ -129,8 +129,19 @@
     return steps
 
 
+def cold(shape: Shape, rng: random.Random) -> list[Step]:
+    """All booking servers drain for new ones that have just started; seven proxies of ten are killed and come
+    back meanwhile."""
+    at_ms = 250.0 * shape.seconds
+    old, new = range(shape.servers), range(shape.servers, shape.servers + shape.spares)
+    killed = tuple(sorted(rng.sample(range(shape.proxies), math.ceil(0.7 * shape.proxies))))
+    return [Step(at_ms, "add", servers=tuple(new)), Step(at_ms + 300.0, "drain", servers=tuple(old)),
+            Step(at_ms + 1000.0, "kill", killed), Step(at_ms + 1300.0, "start", killed),
+            Step(at_ms + 4000.0, "die", servers=tuple(old))]
+
+
 SCRIPTS: dict[str, Callable[[Shape, random.Random], list[Step]]] = {
-    one.__name__: one for one in (calm, roll, herd, stall, late, zone, split, join)
+    one.__name__: one for one in (calm, roll, herd, stall, late, zone, split, join, cold)
 }
 
 
--- a/tests/test_fleet_days.py
+++ b/tests/test_fleet_days.py
@@ -16,7 +16,8 @@
 from lab.fleet.script import SCRIPTS, Shape, script
 
 ROOT = Path(__file__).parent.parent
-DAYS = ("roll", "herd", "stall", "late", "zone", "split", "join")
+DAYS = ("roll", "herd", "stall", "late", "zone", "split", "join", "cold")
+COLD_PROXIES = 30
 AT_ONCE = 4  # days side by side: each waits more than it works
 
 
@@ -24,6 +25,8 @@
 def days() -> dict[str, Future[subprocess.CompletedProcess[str]]]:
     def play(name: str) -> subprocess.CompletedProcess[str]:
         words = [sys.executable, "-m", "lab", "fleet", name, "--seconds", "7", "--json"]
+        if name == "cold":
+            words += ["--proxies", str(COLD_PROXIES)]
         return subprocess.run(words, cwd=ROOT, capture_output=True, text=True, timeout=240, check=False)
 
     with ThreadPoolExecutor(AT_ONCE) as pool:
@@ -31,13 +34,13 @@
 
 
 @pytest.mark.parametrize("name", DAYS)
-def test_eight_processes_keep_every_rule_through_a_days_faults(
+def test_processes_keep_every_rule_through_a_days_faults(
     days: dict[str, Future[subprocess.CompletedProcess[str]]], name: str
 ) -> None:
     played = days[name].result()
     assert played.returncode == 0, played.stdout + played.stderr[-3000:]
     told = json.loads(played.stdout)
-    assert told["broken"] == {} and told["proxies"] == 8
+    assert told["broken"] == {} and told["proxies"] == (COLD_PROXIES if name == "cold" else 8)
     assert told["tries"] > 100 and told["outcomes"]["stands"] > 50  # the day was a day
 
 
