--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -15,12 +15,12 @@
 
 from capershelf import interface as api
 from capershelf.core import model as m
-from capershelf.core.clock import SystemClock
+from capershelf.core.clock import ManualClock, SystemClock
 from capershelf.core.planner import LATE_ANSWER_MS, LOST_AFTER_MS, Planner
 from capershelf.net.connection import Connection
 from capershelf.net.framing import Lines
 from tests.peers import PATIENCE_S, Peer, Stage, until
-from tests.rig import listed
+from tests.rig import listed, settings
 from tests.test_planner_states import FakeCaller, FakeServers
 from tests.test_stopping import go_on, lines_of, news, planner_with, request, slow_pair
 
@@ -449,3 +449,53 @@
     planner.inbox.put(m.ServerAnswered("s0", request(1).id, "sdp", None))
     go_on(planner)
     assert second.heard == [m.Answered(request(1).id, "sdp")] and not first.heard
+
+
+# -- settings of another customer --------------------------------------------------------------------------
+
+@pytest.mark.parametrize(("release_ms", "drain_grace_ms", "attempts", "name"), [
+    (50.0, 500.0, 2, "seat-buy"), (750.0, 5000.0, 9, "crane-claim"),
+])
+def test_times_names_and_bounds_are_the_settings(
+    release_ms: float, drain_grace_ms: float, attempts: int, name: str
+) -> None:
+    clock, caller = ManualClock(), FakeCaller(False)
+    terms = settings(
+        release_ms=release_ms, drain_grace_ms=drain_grace_ms, max_attempts=attempts,
+        classes=(api.CallClass(name, 60_000.0, 90_000.0),))
+    planner = Planner(terms, 1, clock, 500.0)
+    planner.servers = servers = Unruled(clock)
+    planner.tell(news(1, "s0", api.Standing.ACTIVE))
+    planner.inbox.put(m.LinkUp("s0", 1))
+    asked = m.SetUp("00000000000000aa", name, clock.now_ms() + 90_000.0, "n", "sdp", 0)
+    planner.inbox.put(m.SetUpCame(asked, caller))
+    other = m.SetUp("00000000000000ab", "slot-lookup", asked.expires_ms, "n", "sdp")
+    planner.inbox.put(m.SetUpCame(other, caller))
+    go_on(planner)
+    assert caller.heard == [m.Failed("00000000000000ab", m.INVALID)], "a class that is not of this customer's"
+    ended: list[float] = []
+    while not caller.heard[1:]:
+        assert len(ended) <= attempts
+        if len(servers.sent_at) > len(ended):  # out: it is reset at once
+            ended.append(clock.now_ms())
+            planner.inbox.put(m.ServerReleased("s0", asked.id, 41, api.Result.RESET, api.Why.UNSAID, None))
+        go_on(planner)
+        clock.advance(10.0)
+        go_on(planner)
+    assert len(ended) == attempts
+    gaps = [sent - end for end, sent in zip(ended, servers.sent_at[1:], strict=False)]
+    assert all(release_ms <= gap < release_ms + 60.0 for gap in gaps), gaps
+
+
+class Unruled(FakeServers):
+    """Notes when what went out; the figures that it would hold it against are another customer's."""
+
+    def __init__(self, clock: ManualClock) -> None:
+        super().__init__(clock)
+        self.sent_at: list[float] = []
+
+    def set_up(
+        self, server: str, epoch: int, request: m.SetUp, left_ms: float, gate: m.WriteGate
+    ) -> None:
+        assert gate.may_begin()
+        self.sent_at.append(self.clock.now_ms())
