Let calls that are led around use a cold server's open turn first, and deal the root out too

A call came to a proxy with an open turn too seldom, and led around it went by size and room, where the turn was lost.

Ruled out: proof by own answers (no proxy of 30 has three answers of one server in a second).

The change: Controller.way puts a cold server whose turn is open here before all warm ones. For small servers the root is what they can hardly do without.

--- a/capershelf/control.py
+++ b/capershelf/control.py
@@ -625,12 +625,14 @@
             ))
         )
 
-    def way(self, call: Call, gate: Gate) -> float:
+    def way(self, call: Call, gate: Gate) -> tuple[bool, float]:
         """Where the server stands among the call's ways round, least first; drawn once, by size and room: no
-        herd, no crowd at small servers.  Without sizes the draw is the sender's: its hash order."""
+        herd, no crowd at small servers.  Without sizes the draw is the sender's: its hash order.
+        Before all warm ones comes a cold one where it is this sender's turn: a turn can't be kept."""
         lot = drawn(call, gate.rank) if self.sight.most_lines > 0 else 1.0 - gate.rank / 2**32
         room = max(0.05, 1.0 - gate.seen(self.now_ms) / self.limit_ms)
-        return -math.log(lot) / max(1e-9, self.sight.weight(self.now_ms, gate.id) * room)
+        far = -math.log(lot) / max(1e-9, self.sight.weight(self.now_ms, gate.id) * room)
+        return self.warmth(gate) >= 1.0, far
 
     def place(self, call: Call, clear: dict[str, Gate] | None = None) -> Gate | None:
         """Send the call to its first choice if that is clear, else to another clear server (of these)."""
--- a/capershelf/sight/cold.py
+++ b/capershelf/sight/cold.py
@@ -11,7 +11,7 @@
 import math
 from collections import deque
 
-MOST = 0.9  # of what the rules let the fleet send in any window, it is sent no more
+MOST = 0.9  # of what the rules let the fleet send in any window, and the root of that on top
 LEAST_OPEN = 0.25  # windows that a turn lasts at the least
 
 
@@ -19,25 +19,30 @@
     """Windows for which a turn stays open.
 
     What is sent in a window used turns that opened in it or so long before it.  More than a server can do is
-    of no use to it: dealt out is MOST of that, a multiple-th of what the rules allow, and the rest of it goes
+    of no use to it: dealt out is about that, a multiple-th of what the rules allow, and the rest of it goes
     into the time for which a turn waits for a call.
     """
     return max(LEAST_OPEN, multiple - 1.0)
 
 
-def dealt(multiple: float) -> float:
-    """The part of what the rules allow in a window that is dealt out in one."""
-    return MOST / (1.0 + lasts(multiple))
+def most(budget: float) -> float:
+    """What the fleet sends in any window at the most, and one.  The rules leave chance two roots and two."""
+    return MOST * budget + math.sqrt(budget)
+
+
+def dealt(budget: float, multiple: float) -> float:
+    """What is dealt out in a window in which the rules allow the budget."""
+    return most(budget) / (1.0 + lasts(multiple))
 
 
 class Turns:
     """One sender's turns, one of `count` senders; begins empty."""
 
-    __slots__ = ("_count", "_next", "_passed", "_at_ms", "_open", "_dealt", "_lasts")
+    __slots__ = ("_count", "_next", "_passed", "_at_ms", "_open", "_multiple")
 
     def __init__(self, slot: int, count: int, now_ms: float, multiple: float) -> None:
         self._count = count
-        self._dealt, self._lasts = dealt(multiple), lasts(multiple)
+        self._multiple = multiple
         self._next = float(slot % count + 1)  # where the counter opens the next turn
         self._passed, self._at_ms = 0.0, now_ms
         self._open: deque[float] = deque()  # until when each open turn lasts
@@ -48,8 +53,8 @@
     def open(self, now_ms: float, per_ms: float, window_ms: float) -> bool:
         """Whether a turn is open now.  per_ms: set-ups that the rules allow the fleet, over the time since
         this was asked last."""
-        per_ms *= self._dealt
-        lasts_ms = self._lasts * window_ms
+        per_ms = dealt(per_ms * window_ms, self._multiple) / window_ms
+        lasts_ms = lasts(self._multiple) * window_ms
         if now_ms > self._at_ms and per_ms > 0.0:
             self._passed += per_ms * (now_ms - self._at_ms)
             behind = self._passed - per_ms * lasts_ms - self._next
