--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -22,7 +22,15 @@
 from tests.peers import PATIENCE_S, Peer, Stage, until
 from tests.rig import listed, settings
 from tests.test_planner_states import FakeCaller, FakeServers
-from tests.test_stopping import go_on, lines_of, news, planner_with, request, slow_pair
+from tests.test_stopping import (
+    go_on,
+    lines_of,
+    news,
+    planner_with,
+    read_until_half_written,
+    request,
+    slow_pair,
+)
 
 A = "00000000000000a0"
 RELEASE_MS = 200.0
@@ -61,15 +69,7 @@
     connection, far, said = slow_pair()
     gate = Gate()
     assert connection.post(b"y" * 40_000, "a", gate)
-
-    def begun() -> bool:
-        data, tag, _ = connection._outbox[0]
-        if tag == "a" and len(data) < 40_001:
-            return True
-        far.recv(1024)
-        return False
-
-    until(begun)
+    read_until_half_written(connection, far)
     gate.opens = False  # a rest that never comes would spoil what follows
     assert connection.post(b"next")
     connection.finish()
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -218,9 +218,8 @@
     assert lines_of(far) == [*said, "last", ""]
 
 
-def test_one_that_is_half_written_is_broken_off_where_it_is_asked_for_by_name() -> None:
-    connection, far, _ = slow_pair()
-    assert connection.post(b"y" * 40_000, "a")
+def read_until_half_written(connection: Connection, far: socket.socket) -> None:
+    """Read on the far side until a part of the message of 40,001 bytes under the tag "a" is written."""
 
     def begun() -> bool:
         data, tag, _ = connection._outbox[0]
@@ -230,6 +229,12 @@
         return False
 
     until(begun)
+
+
+def test_one_that_is_half_written_is_broken_off_where_it_is_asked_for_by_name() -> None:
+    connection, far, _ = slow_pair()
+    assert connection.post(b"y" * 40_000, "a")
+    read_until_half_written(connection, far)
     assert connection.withdraw() == set(), "its first byte is out: it may arrive"
     assert connection.withdraw("a") == set()
     assert lines_of(far)[-1] != "", "its rest never arrives"
