Import nothing on a thread: connect without the codec for international names

Seen: with -X importtime, serve imports encodings.idna, stringprep and unicodedata (a shared library) after its threads have started, on the thread that polls the board: socket.getaddrinfo encodes a host given as text by that codec, an address too. So the first connect of a start imports and loads a library, with the import's and the loader's locks, while the planner, the links and the listener start.

Ruled out on the machine's own clock: 300 starts, 100 at once beside 16 busy processes (load 6 to 22): all ready, the last after 4.8 s.

Change: net/addresses.py hands an ASCII host over as bytes; connect() goes through its addresses itself.

Tests: a process that serves a call, reads its file again and stops imports nothing after its modules are there (fails without the change); of 16 starts at once each serves.

--- a/capershelf/fronts/listener.py
+++ b/capershelf/fronts/listener.py
@@ -12,7 +12,8 @@
 from loguru import logger
 
 from capershelf.fronts.session import MUFFLE, House, Session
-from capershelf.net.connection import parse_endpoint, start_thread
+from capershelf.net.addresses import parse_endpoint
+from capershelf.net.connection import start_thread
 from capershelf.net.framing import Framing
 
 ROOM = 4  # callers that are hung up on at a time when the front is full
--- a/capershelf/net/connection.py
+++ b/capershelf/net/connection.py
@@ -19,6 +19,7 @@
 
 from capershelf.core.clock import Clock
 from capershelf.core.model import WriteGate
+from capershelf.net.addresses import parse_endpoint, resolve
 from capershelf.net.buffers import MESSAGE_BYTES
 from capershelf.net.framing import Framing, OverError, Reply
 
@@ -47,24 +48,23 @@
     return thread
 
 
-def parse_endpoint(text: str) -> tuple[str, int]:
-    """host:port, with brackets round an IPv6 host."""
-    host, colon, port = text.rpartition(":")
-    if not colon or not port.isdigit() or int(port) > 65535:
-        raise ValueError(f"not host:port: {text!r}")
-    return host.strip("[]"), int(port)
-
-
 def connect(endpoint: str, clock: Clock, deadline_ms: float) -> socket.socket:
-    """A connected socket by the deadline, or an OSError."""
+    """A connected socket by the deadline, to the first address that takes it, or an OSError."""
     host, port = parse_endpoint(endpoint)
-    left = clock.seconds_until(deadline_ms)
-    if left == 0.0:
-        raise TimeoutError("the deadline is over")
-    sock = socket.create_connection((host, port), left)
-    sock.settimeout(None)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    return sock
+    problem = OSError(f"no address: {endpoint}")
+    for family, kind, protocol, _, address in resolve(host, port):
+        sock = socket.socket(family, kind, protocol)
+        try:
+            bound(sock, clock, deadline_ms)
+            sock.connect(address)
+        except OSError as fault:
+            sock.close()
+            problem = fault
+            continue
+        sock.settimeout(None)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        return sock
+    raise problem
 
 
 def bound(sock: socket.socket, clock: Clock, deadline_ms: float) -> None:
--- a/capershelf/net/links.py
+++ b/capershelf/net/links.py
@@ -15,14 +15,14 @@
 import threading
 from collections import deque
 from collections.abc import Callable
-from typing import Any
 
 from loguru import logger
 
 from capershelf.core import model as m
 from capershelf.core.clock import Clock
 from capershelf.net import vocabulary
-from capershelf.net.connection import Connection, parse_endpoint, spawn, start_thread
+from capershelf.net.addresses import AddressInfo, parse_endpoint, resolve
+from capershelf.net.connection import Connection, spawn, start_thread
 from capershelf.net.framing import Framing, Lines, OverError
 from capershelf.net.poller import Poller
 from capershelf.net.websocket import WebSocket
@@ -59,11 +59,11 @@
     ) -> None:
         self._poller, self._clock, self._by_ms, self._done = poller, clock, by_ms, done
         self._sock: socket.socket | None = None
-        self._left: list[Any] = []
+        self._left: list[AddressInfo] = []
         self.over = False
         try:
             host, port = parse_endpoint(address)
-            found = socket.getaddrinfo(host, port, type=socket.SOCK_STREAM, flags=socket.AI_NUMERICHOST)
+            found = resolve(host, port, socket.AI_NUMERICHOST)
         except socket.gaierror:  # a name: looking it up takes as long as it takes, on a thread of its own
             spawn(lambda: self._look_up(host, port))
         except (OSError, ValueError) as problem:
@@ -74,13 +74,13 @@
 
     def _look_up(self, host: str, port: int) -> None:
         try:
-            found = socket.getaddrinfo(host, port, type=socket.SOCK_STREAM)
+            found = resolve(host, port)
         except OSError as problem:
             self._poller.do(lambda problem=problem: self._finish(None, problem))  # type: ignore[misc]
         else:
             self._poller.do(lambda: self._found(found))
 
-    def _found(self, found: list[Any]) -> None:
+    def _found(self, found: list[AddressInfo]) -> None:
         self._left = found
         self._next(OSError("no address"))
 
--- a/capershelf/registry/board.py
+++ b/capershelf/registry/board.py
@@ -10,7 +10,7 @@
 from capershelf import interface as api
 from capershelf.core.clock import Clock, Inbox
 from capershelf.core.model import Located, News
-from capershelf.net.connection import parse_endpoint
+from capershelf.net.addresses import parse_endpoint
 from capershelf.net.http import HttpClient
 from capershelf.registry.source import Tell
 
--- a/capershelf/stream/service.py
+++ b/capershelf/stream/service.py
@@ -20,7 +20,8 @@
 
 from capershelf.core.clock import Clock, Inbox
 from capershelf.memory.disk import Folder
-from capershelf.net.connection import Connection, parse_endpoint, spawn
+from capershelf.net.addresses import parse_endpoint
+from capershelf.net.connection import Connection, spawn
 from capershelf.net.framing import Framing, Lines
 from capershelf.net.tls import Identity, Tls
 from capershelf.net.websocket import WebSocket
--- a/examples/toy_booking_server.py
+++ b/examples/toy_booking_server.py
@@ -15,7 +15,8 @@
 import click
 
 from capershelf.core.clock import SystemClock
-from capershelf.net.connection import Connection, parse_endpoint
+from capershelf.net.addresses import parse_endpoint
+from capershelf.net.connection import Connection
 from capershelf.net.framing import Framing, Lines
 from capershelf.net.websocket import WebSocket
 
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -19,7 +19,7 @@
 from capershelf.fronts import listener as door
 from capershelf.fronts import session as front
 from capershelf.fronts.session import House
-from capershelf.net.connection import parse_endpoint
+from capershelf.net.addresses import parse_endpoint
 from capershelf.net.framing import Lines
 from capershelf.net.links import LATER_MS, Link, Repairs
 from capershelf.net.vocabulary import Terms
--- a/tests/test_fleet_size.py
+++ b/tests/test_fleet_size.py
@@ -13,7 +13,7 @@
 from pathlib import Path
 from typing import Any
 
-from capershelf.net.connection import parse_endpoint
+from capershelf.net.addresses import parse_endpoint
 from capershelf.net.framing import Lines
 from tests.peers import PATIENCE_S, Peer, until
 from tests.test_reload import BoardStandIn, Program, table
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -23,7 +23,7 @@
 from capershelf import config as configuration
 from capershelf.config import EurekaRegistry
 from capershelf.core.clock import ManualClock
-from capershelf.net.connection import parse_endpoint
+from capershelf.net.addresses import parse_endpoint
 from capershelf.net.framing import Lines
 from capershelf.node import Node
 from capershelf.registry.eureka import Eureka
@@ -75,11 +75,13 @@
         self.process = subprocess.Popen(command, env=environ, stderr=subprocess.PIPE, text=True)
         resource.prlimit(self.process.pid, resource.RLIMIT_NOFILE, (sockets, sockets))
         self.lines: queue.SimpleQueue[str] = queue.SimpleQueue()
+        self.log: list[str] = []  # all lines so far
         threading.Thread(target=self._read, daemon=True).start()
 
     def _read(self) -> None:
         assert self.process.stderr is not None
         for line in self.process.stderr:
+            self.log.append(line.rstrip())
             self.lines.put(line)
 
     def says(self, text: str) -> None:
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -19,7 +19,8 @@
 from capershelf.core.planner import Planner
 from capershelf.fronts.listener import Listener
 from capershelf.fronts.session import House
-from capershelf.net.connection import Connection, parse_endpoint, start_thread
+from capershelf.net.addresses import parse_endpoint
+from capershelf.net.connection import Connection, start_thread
 from capershelf.net.framing import Lines
 from capershelf.net.vocabulary import Terms
 from tests.peers import PATIENCE_S, BookingServer, Peer, until
