Tell a caller at once of a call that ended before its answer came, and ask nobody else

Its attempt went to s- at 10.830; at 12.312 that server's release with cause 16 came, on the connection in use, while the call was open here: 'attempt 0 at s- is over: error', and attempt 1 went to another server, where it stood at 12.424. The answer of the first server came at 13.420. So its answer was held up, the call had stood there and had come to its end.

At fault: Planner._server_released took cause 16 (not in vocabulary.RESULTS) for an error of a set-up, and had the module send the call once more. The protocol has 16 only after the answer.

Ruled out: links that were replaced (the release was not on a replaced one), a call given up here, the list (the server neither drained nor went).

Change: a normal end of a call that is out at that server ends it: the caller is told with a final release, the module hears of a settled attempt, no other server is asked.

Test: tests/test_crossings.py, fails without the change.

--- a/capershelf/core/planner.py
+++ b/capershelf/core/planner.py
@@ -432,9 +432,20 @@
         elif (out := call.attempt) is not None and out.server == event.server and out.epoch is not None and (
             not event.replaced
         ):
+            if event.cause == m.NORMAL:
+                self._ended_unanswered(call, event)
+                return
             call.ended_at, call.ended_ms = event.server, self.clock.now_ms()
             self._end_attempt(call, event.result, event.why, event.report)
 
+    def _ended_unanswered(self, call: m.Call, event: m.ServerReleased) -> None:
+        """The call stood at the server and has come to its end there; the answer was lost or comes late.
+
+        It has run: its caller is told that it is over, and no other server is asked for a second run.
+        """
+        self._end_attempt(call, api.Result.ERROR, report=event.report, settled=True)
+        self._final(call, m.Failed(call.request.id, m.NORMAL))
+
     def _told(self, event: m.ServerTold) -> None:
         if event.token and self._probes.pop(event.token, None) is None:
             return
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -322,6 +322,25 @@
         stage.end()
 
 
+def test_a_call_that_ended_before_its_answer_came_is_told_to_be_over_and_asked_for_nowhere_else() -> None:
+    """Its answer was lost, or is late: the server's normal end says that it stood there and is over."""
+    planner, servers, clock = planner_with()
+    caller = FakeCaller(False)
+    planner.inbox.put(m.SetUpCame(request(1), caller))
+    go_on(planner)
+    assert servers.out == {request(1).id: "s0"}
+    servers.ended(request(1).id, False)
+    planner.inbox.put(
+        m.ServerReleased("s0", request(1).id, m.NORMAL, api.Result.ERROR, api.Why.UNSAID, None))
+    go_on(planner)
+    assert caller.heard == [m.Failed(request(1).id, m.NORMAL)]
+    planner.inbox.put(m.ServerAnswered("s0", request(1).id, "late", None))
+    go_on(planner)
+    clock.advance(1000.0)
+    go_on(planner)
+    assert not servers.out and len(caller.heard) == 1 and not planner._calls and planner.open_calls == 0
+
+
 # -- ends that come twice, late, or for another attempt --------------------------------------------------
 
 def out_again(result: api.Result, cause: int) -> tuple[Planner, FakeServers, Any]:
