Write the control service's state once a look, and order the fleet once for all followers

Need: docs/CAPACITY.md's scale test of the control service (real service, hollow followers on loopback).

Seen (trial, one run a size): with 300 followers the service used 100.9% of a core at rest, joining took 15 s for 268 of them, and no version came into force within 20 s; 50 followers 4.5%, 100 followers 12.0%.

At fault: ControlService._take wrote out all that it knows of all proxies after each message, beats too (json.dumps of the fleet, compared with the last text); ControlService._offer asked Rollout.due for each follower at each look, five times a second, and that sorted all proxies by a hash each time.

Ruled out: the threads of the connections (302 threads, 45 MB) and the versions' bytes (527 kB for 300).

Change: the state is written at a look, where something has changed, at once where a roll-out halts, and at the end; the proxies of a stage are worked out once for all followers, and the last stage needs no order.

--- a/capershelf/stream/rollout.py
+++ b/capershelf/stream/rollout.py
@@ -44,13 +44,15 @@
         return blake3(f"{self.number}/{proxy}".encode()).digest(8)
 
     def chosen(self, proxies: set[str]) -> set[str]:
-        """Those of the stages so far; at least one."""
+        """Those of the stages so far; at least one.  Sorts all of them: ask once for many proxies."""
         most = max(1, math.ceil(self.plan.stages[self.stage] * len(proxies) - 1e-9))
+        if most >= len(proxies):
+            return proxies
         return set(sorted(proxies, key=self.order)[:most])
 
-    def due(self, proxy: str, proxies: set[str]) -> bool:
-        """Whether this proxy is to be offered the version now."""
-        return proxy in self.acked or not self.halted and proxy in self.chosen(proxies)
+    def due(self, proxy: str, chosen: set[str]) -> bool:
+        """Whether this proxy is to be offered the version now, where these are chosen."""
+        return proxy in self.acked or not self.halted and proxy in chosen
 
     def ack(self, proxy: str, now_ms: float) -> None:
         self.acked.setdefault(proxy, now_ms)
--- a/capershelf/stream/service.py
+++ b/capershelf/stream/service.py
@@ -124,6 +124,7 @@
         self._scan_ms = 0.0
         self._stamp = 0  # of the newest version's signature
         self._state = ""
+        self._changed = True  # since state.json was written
         self._read_state()
 
     # -- threads --------------------------------------------------------------------------------------
@@ -148,6 +149,7 @@
                 self._take(event)
             except Exception:  # one proxy must not end the service for all
                 logger.exception("control: a fault", event="control-fault")
+        self._write_state()
         with contextlib.suppress(OSError):
             self._sock.shutdown(socket.SHUT_RDWR)
         self._sock.close()
@@ -165,16 +167,18 @@
                 if (peer := self._peers.pop(number, None)) is not None and peer.end.proxy:
                     connected = any(one.end.proxy == peer.end.proxy for one in self._peers.values())
                     self.fleet.note(peer.end.proxy, self._clock.now_ms(), connected=connected)
+                    self._changed = True
         now_ms = self._clock.now_ms()
         if now_ms >= self._scan_ms:
             self._scan_ms = now_ms + SCAN_MS
             self._scan()
             self._advance(now_ms)
+            if self._changed:  # not at each message: guards a large fleet's service from its own file
+                self._write_state()
             for peer in list(self._peers.values()):
                 if now_ms - peer.heard_ms >= protocol.BEAT_MS / 2:
                     peer.heard_ms = now_ms
                     peer.connection.post(protocol.encode({"type": "beat"}))
-        self._write_state()
 
     def _admit(self, sock: socket.socket, name: str) -> None:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -236,6 +240,7 @@
                 continue
             self._shelf.add(found)
             self._before, self._newest = self._newest, found
+            self._changed = True
             known = self._rollout
             if known is None or known.number != number:
                 self._rollout = Rollout(number, self._plan)
@@ -273,19 +278,21 @@
             return
         connected = {peer.end.proxy for peer in self._peers.values() if peer.end.proxy}
         while self._rollout.advance(set(self.fleet.proxies), connected, now_ms):
+            self._changed = True
             logger.info(
                 "control: version {version}: {state}", event="rollout-stage", version=self._rollout.number,
                 state=self._rollout.state
             )
+        chosen = self._rollout.chosen(set(self.fleet.proxies))
         for peer in self._peers.values():
             if peer.end.proxy:
-                self._offer(peer)
+                self._offer(peer, chosen)
 
-    def _offer(self, peer: Peer) -> None:
+    def _offer(self, peer: Peer, chosen: set[str]) -> None:
         """What this proxy is to have now: the newest where its stage has come, else the one before."""
         if self._rollout is None or self._newest is None:
             return
-        due = self._rollout.due(peer.end.proxy, set(self.fleet.proxies))
+        due = self._rollout.due(peer.end.proxy, chosen)
         target = self._newest if due else self._before
         if target is None or target.digest in (peer.end.digest, peer.offered):
             return
@@ -296,13 +303,15 @@
 
     def _told(self, peer: Peer, told: protocol.Told) -> None:
         now_ms = self._clock.now_ms()
+        self._changed = True
         number = str(told.number) if told.number is not None else ""
         newest = self._rollout is not None and told.number == self._rollout.number
         if told.kind == "hello":
             self.fleet.note(told.proxy, now_ms, connected=True, has=number)
             if newest and self._rollout is not None:
                 self._rollout.ack(told.proxy, now_ms)
-            self._offer(peer)
+            if self._rollout is not None:
+                self._offer(peer, self._rollout.chosen(set(self.fleet.proxies)))
         elif told.kind == "ack":
             self.fleet.note(told.proxy, now_ms, has=number, notes=list(told.notes))
             if newest and self._rollout is not None:
@@ -317,6 +326,7 @@
             )
             if newest and self._rollout is not None:
                 self._rollout.refuse(told.proxy, told.code or "put-back", told.text)
+            self._write_state()  # at once: a halt must outlive this process
 
     # -- state ----------------------------------------------------------------------------------------
     def _read_state(self) -> None:
@@ -346,6 +356,7 @@
             },
         }, sort_keys=True, indent=1)
         if text == self._state:
+            self._changed = False
             return
         try:
             self._disk.write(STATE_NEW, text.encode())
@@ -357,4 +368,4 @@
                 problem=problem
             )
             return
-        self._state = text
+        self._state, self._changed = text, False
--- a/tests/test_stream_decisions.py
+++ b/tests/test_stream_decisions.py
@@ -239,7 +239,7 @@
     for proxy in second - {bad}:
         rollout.ack(proxy, 120.0)
     assert not rollout.advance(proxies, proxies, 10_000.0)
-    assert [rollout.due(proxy, proxies) for proxy in sorted(second)].count(True) == 4
+    assert [rollout.due(proxy, second) for proxy in sorted(second)].count(True) == 4
     assert "halted at stage 2" in rollout.state
     for stages in ((), (0.5,), (0.5, 0.1, 1.0), (0.0, 1.0)):
         with pytest.raises(ValueError, match="stages"):
