Link to a deterministic, even subset of each service's booking servers where an operator asks

Options are in docs/subset.md: rendezvous hashing is uneven, shuffled pieces and rings move too much.

Change: capershelf/subset/ (pure): each server has a digital (0, 1)-sequence over the slots, zones give their part by systematic sampling; Membership keeps substitutes for members that drain, can't be reached or are silent. The planner takes the list through it and looks at it every 100 ms. A server that leaves drains first, so its calls end once. ListedServer.sender_share tells the module which part of the fleet may send to a cold server; Turns deals its budget out among these. List entries may name a service; az is read. Off unless [subset] is there; serve imports nothing for it. On the way: timers and the write gate have left planner.py for modules of their own (core/timers.py, core/attempt_gate.py).

--- a/capershelf/cli.py
+++ b/capershelf/cli.py
@@ -145,6 +145,15 @@
         click.echo(VERSION)
 
 
+def describe_subset(found: configuration.Config) -> str:
+    """What subsetting comes to with the servers that the configuration itself lists."""
+    if found.subset is None:
+        return "off"
+    from capershelf.subset.summary import summary
+
+    return summary(found)
+
+
 @main.command("check-config")
 @CONFIG
 def check_config(path: str | None) -> None:
@@ -161,5 +170,6 @@
     click.echo(f"Eureka: {found.eureka.url if found.eureka else 'off'}")
     click.echo(f"memory: {found.memory.folder if found.memory else 'off'}")
     click.echo(f"stream: {', '.join(found.stream.services) if found.stream else 'off'}")
+    click.echo(f"subset: {describe_subset(found)}")
     for name in found.unread:
         click.echo(f"note: {name!r} is not a setting of this program")
--- a/capershelf/config.py
+++ b/capershelf/config.py
@@ -64,6 +64,13 @@
     least: int = 50
 
 
+@dataclass(frozen=True, slots=True)
+class SubsetSettings:
+    """Deterministic subsetting (capershelf/subset/), off unless an operator's file turns it on."""
+
+    size: int  # members of each service
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     """Everything that one signalling proxy is told."""
@@ -82,6 +89,7 @@
     eureka: EurekaRegistry | None = None
     memory: MemorySettings | None = None
     stream: StreamSettings | None = None
+    subset: SubsetSettings | None = None
     table: dict[str, Any] = field(default_factory=dict, compare=False)  # as it was read
     unread: tuple[str, ...] = field(default=())
 
@@ -141,6 +149,7 @@
         )
     memory = read_memory(table["memory"]) if "memory" in table else None
     stream = read_stream(table["stream"]) if "stream" in table else None
+    subset = read_subset(table["subset"]) if "subset" in table else None
     if memory is not None and stream is not None and stream.folder and (
         Path(memory.folder).resolve() == Path(stream.folder).resolve()
     ):
@@ -148,7 +157,7 @@
     if eureka is not None and table.get("board"):
         raise ValueError("board and eureka are both set: one registry lists the booking servers")
     known = {"name", "listen", "seed", "limits", "board", "known", "settings", "planners", "websocket",
-             "eureka", "memory", "stream"}
+             "eureka", "memory", "stream", "subset"}
     return Config(
         name=str(table.get("name") or environ.get("NODE_NAME") or "capershelf"),
         listen=str(table.get("listen", environ.get("NODE_LISTEN", ""))),
@@ -164,6 +173,7 @@
         eureka=eureka,
         memory=memory,
         stream=stream,
+        subset=subset,
         table=table,
         unread=tuple(sorted(set(table) - known)),
     )
@@ -185,6 +195,19 @@
     return MemorySettings(folder, str(table.get("key-file", "")), **given)
 
 
+def read_subset(table: Any) -> SubsetSettings:
+    """The [subset] table; ValueError names what is missing, unknown or too small."""
+    from capershelf.subset import check_size  # only where it is turned on
+
+    size = _number(table, "subset.", "size")
+    if unknown := sorted(set(table) - {"size"}):
+        raise ValueError(f"settings: subset.{unknown[0]} is not a setting")
+    if size != int(size):
+        raise ValueError(f"settings: subset.size must be a whole number, not {size:g}")
+    check_size(int(size))
+    return SubsetSettings(int(size))
+
+
 def read_stream(table: Any) -> StreamSettings:
     """The [stream] table; ValueError names what is missing, unknown or senseless."""
     services = _need(table, "stream.", "services")
--- a/capershelf/control.py
+++ b/capershelf/control.py
@@ -126,6 +126,7 @@
         self.free_lines: float | None = None
         self.lines = 0.0
         self.turns = Turns(0, 1, 0.0, 1.0)  # this sender's at it while it is cold
+        self.sender_share = listed.sender_share
         self.answered_at: deque[float] = deque()
         self.errors: set[str] = set()  # numbers that failed there, and not elsewhere, since the last success
         self.failing = False  # silent for its errors
@@ -441,6 +442,7 @@
             if gate.standing is not listed.standing:
                 self.log(gate, f"is now {listed.standing.value}")
             gate.place, gate.standing = listed.place, listed.standing
+            gate.sender_share = listed.sender_share
             if listed.started_ms != gate.started_ms or came_back:
                 gate.started_ms = listed.started_ms or (self.now_ms if came_back else None)
                 gate.silent, gate.free_lines, gate.seen_wait_ms, gate.usual_rate = False, None, 0.0, 0.0
@@ -693,7 +695,8 @@
         """From its start, or from when it is heard of: a gateway that has just started begins with none.
         Whose turn is first differs from server to server."""
         slot = self.settings.gateway_no + zlib.crc32(gate.id.encode())
-        return Turns(slot, self.settings.gateway_count, self.now_ms, self.settings.fall_multiple)
+        settings, share = self.settings, gate.sender_share
+        return Turns(slot, settings.gateway_count, self.now_ms, settings.fall_multiple, share)
 
     def in_cold_budget(self, gate: Gate) -> bool:
         """Rule 4: whether it is this gateway's turn at a cold server (sight/cold.py)."""
@@ -706,7 +709,7 @@
             # What it does for this sender, its part of the answers or of what is asked for if none came, for
             # all of them: where each goes by its own, the sum is that of all.
             rate = max(self.best_rate, ASKED_SHARE * self.asked.value(self.now_ms))
-            rate *= self.part(gate) * self.settings.gateway_count
+            rate *= self.part(gate) * self.settings.gateway_count * gate.sender_share
             able = max(rate, SURE_SENDS / (self.settings.fall_multiple * part * self.settings.fall_ms))
         per_ms = self.settings.fall_multiple * part * able
         return gate.turns.open(self.now_ms, per_ms, self.settings.fall_ms)
--- a/capershelf/core/model.py
+++ b/capershelf/core/model.py
@@ -6,7 +6,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Protocol
@@ -144,6 +144,30 @@
         """Take a bounded part of what was learned since (or everything); when to come again."""
 
 
+class Subset(Protocol):
+    """Which listed servers a planner has links to (capershelf/subset/); only its thread calls these."""
+
+    def take_list(
+        self, now_ms: float, servers: Iterable[Located], kept: frozenset[str] | None
+    ) -> SubsetUpdate:
+        """The list's news; kept as in News with a whole list, None with changes alone."""
+
+    def review(
+        self, now_ms: float, unavailable: Callable[[str], bool], idle: Callable[[str], bool]
+    ) -> SubsetUpdate:
+        """Look at the members again."""
+
+
+class SubsetUpdate(Protocol):
+    """What a subset makes of the list: changes, and whom of these to connect to at once."""
+
+    @property
+    def servers(self) -> tuple[Located, ...]: ...
+
+    @property
+    def urgent(self) -> tuple[str, ...]: ...
+
+
 class Learned(Protocol):
     """The door by which a controller gives out what it has learned."""
 
@@ -215,6 +239,7 @@
     endpoint: str
     epoch: int | None = None  # the open connection's number
     down_ms: float = math.inf  # since when there is none
+    link_failed: bool = False  # its connection broke or did not come up, and none has come up since
     gone: bool = False
     draining: bool = False  # listed so: nothing new is written to it
     started_ms: float = -math.inf  # its process, as the list tells; -inf: it does not say
@@ -318,6 +343,8 @@
 
     listed: ListedServer
     endpoint: str
+    zone: str = ""  # empty: not told
+    service: str = ""  # empty: the default one, of all servers for which none is told
 
 
 @dataclass(frozen=True, slots=True)
--- a/capershelf/core/planner.py
+++ b/capershelf/core/planner.py
@@ -7,8 +7,8 @@
 
 from __future__ import annotations
 
+import dataclasses
 import functools
-import heapq
 import itertools
 import math
 from collections import deque
@@ -19,7 +19,9 @@
 from capershelf import interface as api
 from capershelf.control import Controller
 from capershelf.core import model as m
+from capershelf.core.attempt_gate import AttemptGate
 from capershelf.core.clock import Clock, Inbox
+from capershelf.core.timers import Timer, Timers
 
 DEADLINE_MARGIN_MS = 15.0  # an outcome sets out so long before its caller leaves
 # Where this process stood still, what the list has told meanwhile is awaited for so long before anything
@@ -32,59 +34,7 @@
 UNHEARD_MS = 8000.0  # the end of a call is kept so long for a caller without a connection
 # An answer to an attempt that was reset may come so long after: what was replaced is heard out.
 LATE_ANSWER_MS = 2000.0
-
-
-class Timer:
-    """Something to do at a time; a timer that is cancelled lets go of it at once, not only when it is due."""
-
-    __slots__ = ("at_ms", "number", "fire")
-
-    def __init__(self, at_ms: float, number: int, fire: Callable[[], None]) -> None:
-        self.at_ms, self.number, self.fire = at_ms, number, fire
-
-    def __lt__(self, other: Timer) -> bool:
-        return (self.at_ms, self.number) < (other.at_ms, other.number)
-
-    def cancel(self) -> None:
-        self.fire = nothing
-
-
-def nothing() -> None:
-    """What a timer does that was cancelled."""
-
-
-class Beginning:
-    """The gate of one attempt: all that must hold where its first byte is written, with what is known then.
-
-    Asked on whichever thread writes, so it only looks at what others may have changed meanwhile; what it
-    finds ends nothing by itself.  In the end each of these is also an event in the planner's inbox; this is
-    what they can't come too late for.
-    """
-
-    __slots__ = ("_planner", "_call", "_attempt", "_server")
-
-    def __init__(
-        self, planner: Planner, call: m.Call, attempt: m.Attempt, server: m.ServerState
-    ) -> None:
-        self._planner, self._call, self._attempt, self._server = planner, call, attempt, server
-
-    def may_begin(self) -> bool:
-        call, attempt, server = self._call, self._attempt, self._server
-        now_ms = self._planner.clock.now_ms()
-        caller = call.caller
-        return (
-            call.state is m.State.OPEN and call.attempt is attempt and not attempt.over  # no other is out
-            and now_ms < min(attempt.deadline_ms, call.request.expires_ms)
-            and now_ms <= attempt.begin_by_ms  # the cold budget
-            and now_ms >= self._planner.rests_until(call, server.id)
-            and not (server.draining or server.gone)
-            and server.started_ms <= attempt.started_ms  # its process is the one that it was meant for
-            and not self._planner.has_news()  # which may say that it drains
-            and (caller is None or caller.waits(call.request.id))
-        )
-
-    def dropped(self) -> None:
-        self._planner.inbox.put(m.NotBegun(self._call.request.key, self._attempt))
+REVIEW_MS = 100.0  # between two looks at the members of a subset
 
 
 class Planner:
@@ -97,7 +47,8 @@
         self.clock = clock
         self.inbox: Inbox[m.Event] = Inbox(clock)
         self.servers: m.Servers
-        self.memory: m.Memory | None = None  # off unless an operator's file turns it on
+        self.memory: m.Memory | None = None  # off unless an operator's file turns it on,
+        self.subset: m.Subset | None = None  # as is this: without it all listed servers are linked to
         self._settings = settings
         self._classes = {kind.name: kind for kind in settings.classes}
         self._controller = Controller(settings, seed)
@@ -110,13 +61,14 @@
         self._resting: dict[int, float] = {}
         self._reset_at: dict[int, str] = {}  # where an attempt was reset lately: its answer may still come
         self._todo: deque[api.Event] = deque()
-        self._timers: list[Timer] = []
+        self._timers = Timers()
         self._count = itertools.count(1)
         self._stop: m.Stop | None = None
         self._news: deque[m.News] = deque()  # goes before what waits in the inbox
         self.list_fresh: Callable[[], bool] = lambda: True  # whether what the list has told has come here
         self._passes_ms = -math.inf  # until then set-ups go out though it has not
         self._awaits_list = False
+        self._list_version = 0
         self.owed: Callable[[], int] = lambda: 0  # set-ups that sessions have taken, here or on their way
         self._now_ms = 0.0
         self.open_calls = 0
@@ -127,6 +79,8 @@
         """Serve until told to stop and nothing is owed."""
         if self.memory is not None:
             self._sweep()
+        if self.subset is not None:
+            self._review_subset()
         while not self.finished():
             self.step()
 
@@ -141,14 +95,12 @@
 
     def step(self) -> None:
         """Take one event or wait for the earliest deadline; then fire what is due."""
-        event = self.inbox.take(self._timers[0].at_ms if self._timers else math.inf)
+        event = self.inbox.take(self._timers.next_ms)
         while self._news:
             self._guarded(self._news.popleft())
         if event is not None:
             self._guarded(event)
-        now_ms = self.clock.now_ms()
-        while self._timers and self._timers[0].at_ms <= now_ms:
-            timer = heapq.heappop(self._timers)
+        for timer in self._timers.due(self.clock.now_ms()):
             try:
                 timer.fire()
             except Exception:  # as above
@@ -175,9 +127,8 @@
         return over or self.clock.now_ms() >= self._stop.by_ms
 
     def at(self, when_ms: float, fire: Callable[[], None]) -> Timer:
-        timer = Timer(when_ms, next(self._count), fire)
-        heapq.heappush(self._timers, timer)
-        return timer
+        """Have this done on the planner's thread at that time."""
+        return self._timers.at(when_ms, fire)
 
     def take(self, event: m.Event) -> None:
         match event:
@@ -531,7 +482,7 @@
     def _link_up(self, event: m.LinkUp) -> None:
         if (server := self._known.get(event.server)) is None:
             return
-        server.epoch, server.down_ms = event.epoch, math.inf
+        server.epoch, server.down_ms, server.link_failed = event.epoch, math.inf, False
         unsaid, server.unsaid = server.unsaid, {}
         for call_id, cause in unsaid.items():
             self.servers.release(server.id, call_id, cause)
@@ -545,6 +496,7 @@
         if (server := self._known.get(event.server)) is None:
             return
         now_ms = self.clock.now_ms()
+        server.link_failed |= event.epoch is None or event.epoch == server.epoch
         if event.epoch is not None and event.epoch == server.epoch:
             server.epoch = None
             server.down_ms = now_ms
@@ -575,6 +527,44 @@
                 self._end_standing(call, api.Result.RESET, m.CUT)
 
     def _listed(self, event: m.News) -> None:
+        if self.subset is None:
+            self._take_list(event)
+            return
+        kept = event.kept if event.whole else None
+        update = self.subset.take_list(self.clock.now_ms(), event.servers, kept)
+        self._take_update(event, update)
+
+    def _take_update(self, event: m.News, update: m.SubsetUpdate) -> None:
+        """What the subset makes of the list's news, as news of its own."""
+        self._take_list(dataclasses.replace(event, whole=False, servers=update.servers, kept=frozenset()))
+        for server_id in update.urgent:
+            self._made_room(self.servers.wake(server_id))
+
+    def _review_subset(self) -> None:
+        """Have substitutes join for members that can't be used, and leave when these are back."""
+        if self.subset is None:
+            return
+        now_ms = self.clock.now_ms()
+        update = self.subset.review(now_ms, self._unavailable, self._holds_nothing)
+        if update.servers:
+            self._take_update(m.News(self._list_version, False, ()), update)
+        self.at(now_ms + REVIEW_MS, self._review_subset)
+
+    def _unavailable(self, server_id: str) -> bool:
+        """Whether there is no way to the server, or the module has taken it out for its silence."""
+        server = self._known.get(server_id)
+        if server is None or server.link_failed:
+            return True
+        learned = self._controller.learned(server_id)
+        return learned is not None and learned.silent
+
+    def _holds_nothing(self, server_id: str) -> bool:
+        """Whether no call is out or stands at the server, and it need not be told of any."""
+        server = self._known.get(server_id)
+        return server is None or not (server.calls or server.unsaid)
+
+    def _take_list(self, event: m.News) -> None:
+        self._list_version = max(self._list_version, event.version)
         named = {located.listed.server for located in event.servers} | event.kept
         for located in event.servers:
             one = located.listed
@@ -829,7 +819,7 @@
                 until_ms = self.clock.now_ms() + LIST_MS
                 self.at(self.clock.now_ms() + LOOK_MS, lambda: self._await_list(until_ms))
             return
-        gate = Beginning(self, call, attempt, server)
+        gate = AttemptGate(self, call, attempt, server)
         if not gate.may_begin():
             self._not_begun(call)
             return
--- a/capershelf/interface.py
+++ b/capershelf/interface.py
@@ -195,6 +195,8 @@
     place: int
     standing: Standing
     started_ms: float | None = None  # None: long ago
+    # The part of all senders that may send to it while it is cold; 0: this one may not.
+    sender_share: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/capershelf/node.py
+++ b/capershelf/node.py
@@ -90,6 +90,25 @@
     return Memory(config.memory, Who(config.name, VERSION, senders, config.planners), clock)
 
 
+def open_subset(config: Config, settings: api.Settings) -> m.Subset | None:
+    """A planner's subset, where an operator's file turns it on; nothing is imported for it else."""
+    if config.subset is None:
+        return None
+    from capershelf.subset import Membership
+
+    return Membership(settings.gateway_no, config.subset.size, settings.ramp_ms, places_of(settings))
+
+
+def places_of(settings: api.Settings) -> frozenset[int] | None:
+    """Where calls of any class may go from here; None: anywhere."""
+    places: set[int] = set()
+    for kind in settings.classes:
+        if kind.places is None:
+            return None
+        places |= set(kind.places)
+    return frozenset(places)
+
+
 class Node:
     """The running parts of one proxy."""
 
@@ -106,8 +125,9 @@
             )
             for number in range(count)
         ]
-        for planner in self.planners:
+        for number, planner in enumerate(self.planners):
             planner.owed = self._owed
+            planner.subset = open_subset(config, planner_settings(config.settings, number, count))
             planner.servers = Links(
                 self.clock, config.connect_ms, self._from_server(planner), config.settings.gateway_count,
                 f"links of {planner.name}", links_share(config), planner.idle,
--- a/capershelf/registry/board.py
+++ b/capershelf/registry/board.py
@@ -24,6 +24,7 @@
 LATE_MS = 100.0  # an answer may come so long after the board's wait
 OWN_MS = 150.0  # a poll that is found over so late was not the board's to lose
 BACK = 3  # answers in a row that number back: the board has begun anew, and so does this side
+NAME_LENGTH = 64  # of a zone or service, at the most
 WS = "ws://"
 STATES = {"up": api.Standing.ACTIVE, "draining": api.Standing.DRAINING, "removed": api.Standing.GONE}
 SHUT = {api.Standing.ACTIVE: 0, api.Standing.DRAINING: 1, api.Standing.GONE: 2}
@@ -106,7 +107,16 @@
         if standing is api.Standing.ACTIVE:
             raise
         place, endpoint, started_ms = -1, "", 0.0
-    return Located(api.ListedServer(uid, place, standing, started_ms or None), endpoint)
+    listed = api.ListedServer(uid, place, standing, started_ms or None)
+    return Located(listed, endpoint, name_of(target, "az"), name_of(target, "service"))
+
+
+def name_of(target: dict[str, Any], key: str) -> str:
+    """A zone's or service's name, empty where none is told; ValueError for what is no short text."""
+    name = target.get(key, "")
+    if not isinstance(name, str) or len(name) > NAME_LENGTH:
+        raise ValueError(f"its {key} is no name: {str(name)[:40]!r}")
+    return name
 
 
 class Board:
--- a/capershelf/registry/eureka.py
+++ b/capershelf/registry/eureka.py
@@ -72,7 +72,7 @@
         endpoint = f"{instance.get('ipAddr') or instance['hostName']}:{int(instance['port']['$'])}"
         if metadata.get("transport") == "ws":
             endpoint = f"ws://{endpoint}/{str(metadata.get('path', '')).lstrip('/')}"
-        return Located(listed, endpoint)
+        return Located(listed, endpoint, str(metadata.get("zone", "")), str(metadata.get("service", "")))
     except (KeyError, TypeError, ValueError, AttributeError) as problem:
         raise EurekaError(f"instance {instance_id} can't be read: {problem!r}") from problem
 
--- a/capershelf/sight/cold.py
+++ b/capershelf/sight/cold.py
@@ -36,12 +36,18 @@
 
 
 class Turns:
-    """One sender's turns, one of `count` senders; begins empty."""
+    """One sender's turns, one of `count` senders; begins empty.
 
-    __slots__ = ("_count", "_next", "_passed", "_at_ms", "_open", "_multiple")
+    share: the part of these that may send to the server at all, spread evenly over the slots; the counter
+    passes the slots of the others, which use no turns, so much faster.  0: this sender may not send to it.
+    """
+
+    __slots__ = ("_count", "_next", "_passed", "_at_ms", "_open", "_multiple", "_share")
 
-    def __init__(self, slot: int, count: int, now_ms: float, multiple: float) -> None:
-        self._count = count
+    def __init__(
+        self, slot: int, count: int, now_ms: float, multiple: float, share: float = 1.0
+    ) -> None:
+        self._count, self._share = count, share
         self._multiple = multiple
         self._next = float(slot % count + 1)  # where the counter opens the next turn
         self._passed, self._at_ms = 0.0, now_ms
@@ -53,7 +59,9 @@
     def open(self, now_ms: float, per_ms: float, window_ms: float) -> bool:
         """Whether a turn is open now.  per_ms: set-ups that the rules allow the fleet, over the time since
         this was asked last."""
-        per_ms = dealt(per_ms * window_ms, self._multiple) / window_ms
+        if self._share <= 0.0:
+            return False
+        per_ms = dealt(per_ms * window_ms, self._multiple) / window_ms / self._share
         lasts_ms = lasts(self._multiple) * window_ms
         if now_ms > self._at_ms and per_ms > 0.0:
             self._passed += per_ms * (now_ms - self._at_ms)
--- a/capershelf/stream/standing.py
+++ b/capershelf/stream/standing.py
@@ -60,7 +60,7 @@
     "limits": {"sockets": COUNT, "memory_mb": ABOVE, "cores": ABOVE},
     "websocket": {"listen": TEXT},
     "eureka": {"url": TEXT, "app": TEXT, "own-app": TEXT, "fetch": ABOVE, "renew": ABOVE},
-    "memory": ANY, "stream": ANY,  # checked where they are read
+    "memory": ANY, "stream": ANY, "subset": ANY,  # checked where they are read
     "settings": {
         "slot-no": MS, "group-size": COUNT, "period": MS, "tier": ANY, "tiers": LIST, "zone": TEXT,
         "zones": LIST, "kinds": LIST, "family": TEXT, "weights": TEXT, "counted-by": TEXT,
--- a/lab/fleet/day.py
+++ b/lab/fleet/day.py
@@ -23,7 +23,7 @@
 from lab.fleet.callers import CLASSES, Front, schedule
 from lab.fleet.processes import Process, free_port
 from lab.fleet.records import Life, Outcome, Seen, Unheard
-from lab.fleet.script import Shape, Step, script
+from lab.fleet.script import Shape, Step, extra_of, script, uid
 from lab.fleet.servers import BookingServer
 from lab.fleet.stage import Stage
 
@@ -118,7 +118,7 @@
         scale = plan.per_s * shape.servers / sum(sizes[:shape.servers])
         self.servers = [
             BookingServer(
-                self.stage, self.seen, f"s-{n:04x}", n if n < shape.servers else n - shape.servers,
+                self.stage, self.seen, uid(n), n if n < shape.servers else n - shape.servers,
                 n % shape.zones, sizes[n] * scale, max(4, int(8.0 * sizes[n] * scale)), CONTRACT,
                 random.Random(f"server {plan.seed} {n}"),
             ) for n in range(count)
@@ -175,7 +175,7 @@
                     for n, name in enumerate(CLASSES)
                 ],
             },
-        } | self.plan.extra
+        } | extra_of(self.plan.name, shape) | self.plan.extra
 
     def start(self, proxy: int) -> None:
         before = self.lives.get(proxy)
--- a/lab/fleet/processes.py
+++ b/lab/fleet/processes.py
@@ -41,6 +41,10 @@
         if self._popen.poll() is None:
             self._popen.send_signal(number)
 
+    @property
+    def pid(self) -> int:
+        return self._popen.pid
+
     def status(self) -> int | None:
         """The exit status, None while it runs."""
         return self._popen.poll()
--- a/lab/fleet/script.py
+++ b/lab/fleet/script.py
@@ -6,6 +6,9 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Any
+
+from capershelf.subset.selection import Candidate, fixed_order
 
 
 @dataclass(frozen=True, slots=True)
@@ -25,6 +28,11 @@
         return tuple(range(zone, self.servers, self.zones))
 
 
+def uid(server: int) -> str:
+    """A booking server's name."""
+    return f"s-{server:04x}"
+
+
 @dataclass(frozen=True, slots=True)
 class Step:
     """At this time (ms from the first call) this befalls these.
@@ -140,8 +148,43 @@
             Step(at_ms + 4000.0, "die", servers=tuple(old))]
 
 
+def subset(shape: Shape, rng: random.Random) -> list[Step]:
+    """Proxies with subsets: a zone is cut off, one proxy stands still, a third of the booking servers are
+    replaced, and at last every member of one proxy's subset drains in the same second."""
+    length_ms = 1000.0 * shape.seconds
+    lost, one = rng.randrange(shape.zones), rng.randrange(shape.proxies)
+    steps = [
+        Step(0.10 * length_ms, "dark", servers=shape.zone_servers(lost)),
+        Step(0.15 * length_ms, "stop", (one,)),
+        Step(0.15 * length_ms + 3000.0, "cont", (one,)),
+        Step(0.35 * length_ms, "light", servers=shape.zone_servers(lost)),
+    ]
+    listed = set(range(shape.servers))
+    replaced = rng.sample(range(shape.servers), min(shape.spares, shape.servers // 3))
+    for n, server in enumerate(replaced):
+        at_ms = (0.4 + 0.3 * n / len(replaced)) * length_ms
+        steps += [Step(at_ms, "add", servers=(shape.servers + n,)),
+                  Step(at_ms + 300.0, "drain", servers=(server,)),
+                  Step(at_ms + 300.0 + 1000.0 * rng.uniform(2.2, 3.0), "die", servers=(server,))]
+        listed = (listed - {server}) | {shape.servers + n}
+    order = fixed_order(one, subset_size(shape), [Candidate(uid(n), f"z{n % shape.zones}") for n in listed])
+    drained = [n for n in sorted(listed) if uid(n) in order[:subset_size(shape)]]
+    at_ms = 0.85 * length_ms
+    return [*steps, *(Step(at_ms + 900.0 * rng.random(), "drain", servers=(n,)) for n in drained)]
+
+
+def subset_size(shape: Shape) -> int:
+    """Members that a proxy has on the day `subset`."""
+    return max(4, shape.servers // 4)
+
+
+def extra_of(name: str, shape: Shape) -> dict[str, Any]:
+    """What a day's processes have in their configuration beside what the platform tells."""
+    return {"subset": {"size": subset_size(shape)}} if name == "subset" else {}
+
+
 SCRIPTS: dict[str, Callable[[Shape, random.Random], list[Step]]] = {
-    one.__name__: one for one in (calm, roll, herd, stall, late, zone, split, join, cold)
+    one.__name__: one for one in (calm, roll, herd, stall, late, zone, split, join, cold, subset)
 }
 
 
--- a/tests/test_fleet_days.py
+++ b/tests/test_fleet_days.py
@@ -16,8 +16,12 @@
 from lab.fleet.script import SCRIPTS, Shape, script
 
 ROOT = Path(__file__).parent.parent
-DAYS = ("roll", "herd", "stall", "late", "zone", "split", "join", "cold")
-COLD_PROXIES = 30
+DAYS = ("roll", "herd", "stall", "late", "zone", "split", "join", "cold", "subset")
+COLD_PROXIES, SUBSET_SERVERS = 30, 16
+WORDS = {
+    "cold": ["--proxies", str(COLD_PROXIES)],
+    "subset": ["--servers", str(SUBSET_SERVERS), "--spares", "5", "--zones", "3", "--load", "0.4"],
+}
 AT_ONCE = 4  # days side by side: each waits more than it works
 
 
@@ -25,8 +29,7 @@
 def days() -> dict[str, Future[subprocess.CompletedProcess[str]]]:
     def play(name: str) -> subprocess.CompletedProcess[str]:
         words = [sys.executable, "-m", "lab", "fleet", name, "--seconds", "7", "--json"]
-        if name == "cold":
-            words += ["--proxies", str(COLD_PROXIES)]
+        words += WORDS.get(name, [])
         return subprocess.run(words, cwd=ROOT, capture_output=True, text=True, timeout=240, check=False)
 
     with ThreadPoolExecutor(AT_ONCE) as pool:
@@ -41,6 +44,7 @@
     assert played.returncode == 0, played.stdout + played.stderr[-3000:]
     told = json.loads(played.stdout)
     assert told["broken"] == {} and told["proxies"] == (COLD_PROXIES if name == "cold" else 8)
+    assert (told["servers"] == SUBSET_SERVERS) is (name == "subset")
     assert told["tries"] > 100 and told["outcomes"]["stands"] > 50  # the day was a day
 
 
--- /dev/null
+++ b/tests/test_pieces.py
@@ -0,0 +1,75 @@
+"""Requests that arrive in pieces, on real sockets at a process of the program: each gets its one outcome."""
+
+from __future__ import annotations
+
+import json
+import queue
+import random
+import socket
+import threading
+from pathlib import Path
+
+from capershelf.net.addresses import parse_endpoint
+from capershelf.net.framing import Lines
+from tests.peers import PATIENCE_S, BookingServer, Peer
+from tests.test_reload import Program, table
+
+CONNECTIONS, CALLS = 8, 6  # calls on each connection
+LONGEST_PIECE = 9  # bytes
+
+
+def set_up_line(call: str) -> bytes:
+    fields = {"class": "slot-confirm", "left": "9000", "key": "k", "extras": "dest:0"}
+    message = {"type": "setup", "id": call, "fields": fields, "sdp": f"größer als ein Byte: {call}\r\n"}
+    return json.dumps(message, ensure_ascii=False).encode() + b"\n"
+
+
+def pieces(data: bytes, chance: random.Random) -> list[bytes]:
+    found = []
+    while data:
+        size = chance.randint(1, LONGEST_PIECE)
+        found.append(data[:size])
+        data = data[size:]
+    return found
+
+
+def answer_all(server: BookingServer, link: Peer) -> None:
+    while True:
+        if (got := server.got.get())["type"] == "setup":
+            link.say("answer", got["id"], sdp=got["sdp"])
+
+
+def test_set_ups_cut_at_any_byte_get_one_answer_each(tmp_path: Path) -> None:
+    server = BookingServer(False)
+    with socket.create_server(("127.0.0.1", 0)) as free:
+        listen = f"127.0.0.1:{free.getsockname()[1]}"
+    target = {"uid": "s0", "endpoint": server.endpoint, "pod_group": 0, "state": "up", "boot_ms": 0}
+    known = {"rev": 1, "notices": [{"rev": 1, "pool": {"rev": 1, "all": True, "targets": [target]}}]}
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(table("") | {"listen": listen, "known": known}))
+    program, chance = Program(path), random.Random(3)
+    try:
+        program.says("serves on")
+        threading.Thread(target=answer_all, args=(server, server.peer()), daemon=True).start()
+        callers = [
+            Peer(socket.create_connection(parse_endpoint(listen)), Lines(), queue.SimpleQueue())
+            for _ in range(CONNECTIONS)
+        ]
+        waiting = []
+        for number, caller in enumerate(callers):
+            caller.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            calls = [f"{number * CALLS + n + 1:016x}" for n in range(CALLS)]
+            waiting.append((caller, calls, pieces(b"".join(map(set_up_line, calls)), chance)))
+        while any(left for _, _, left in waiting):  # a piece of each in turn
+            for caller, _, left in waiting:
+                if left:
+                    caller.sock.sendall(left.pop(0))
+        for caller, calls, _ in waiting:
+            heard = [caller.got.get(timeout=PATIENCE_S) for _ in calls]
+            assert sorted(one["id"] for one in heard) == calls
+            for one in heard:
+                assert one["type"] == "answer" and one["sdp"] == f"größer als ein Byte: {one['id']}\r\n"
+            assert caller.got.empty()
+    finally:
+        program.process.kill()
+        program.process.wait()
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -22,8 +22,9 @@
 ROOT = Path(__file__).parent.parent
 STARTS = 16
 # Each of these cost a start a tenth or more of its time once, or belongs to a part that is off.
-UNUSED = ("importlib.metadata", "capershelf.memory", "capershelf.stream", "capershelf.commands.control",
-          "capershelf.commands.memory", "cryptography", "msgspec", "numpy", "rich", "capershelf.benchlink")
+UNUSED = ("importlib.metadata", "capershelf.memory", "capershelf.stream", "capershelf.subset",
+          "capershelf.commands.control", "capershelf.commands.memory", "cryptography", "msgspec", "numpy",
+          "rich", "capershelf.benchlink")
 
 
 def test_serve_imports_nothing_that_it_has_no_use_for() -> None:
