--- a/lab/__main__.py
+++ b/lab/__main__.py
@@ -11,6 +11,9 @@
 from loguru import logger
 
 from lab import fuzz, memory_cost, restart, spread, stream, takeover
+from lab.capacity import experiment as capacity
+from lab.capacity import page as capacity_page
+from lab.capacity.hollow import HollowPeerError
 from lab.fleet import day as fleet_day
 from lab.fleet.script import SCRIPTS, Shape
 
@@ -147,6 +150,34 @@
         click.echo(json.dumps({"experiment": "fuzz"} | found))
 
 
+@main.command("capacity")
+@click.option("--role", "roles", multiple=True, type=click.Choice(list(capacity.ROLES)),
+              default=tuple(capacity.ROLES), help="These roles only.  [default: all]")
+@click.option("--quick", is_flag=True, help="Small sizes, under two minutes.")
+@click.option("--record", is_flag=True, help="Keep what these roles gave in docs/capacity.json.")
+@click.option("--page", is_flag=True, help="Measure nothing: write docs/CAPACITY.md from docs/capacity.json.")
+@click.option("--json", "as_json", is_flag=True, help="The result as one JSON object on the last line.")
+def capacity_command(roles: tuple[str, ...], quick: bool, record: bool, page: bool, as_json: bool) -> None:
+    """What each role costs at growing sizes, and the page that is made of it."""
+    logger.remove()
+    if record and quick:
+        raise click.UsageError("--record needs the full sizes")
+    try:
+        if page:
+            capacity_page.PAGE.write_text(
+                capacity_page.render(capacity_page.PAGE.read_text(), capacity_page.read_record()))
+            return
+        found = capacity.run(roles, quick, lambda line: click.echo(line, err=True))
+    except (OSError, ValueError, HollowPeerError) as problem:
+        raise click.ClickException(str(problem)) from problem
+    if record:
+        capacity_page.record(found)
+    if as_json:
+        click.echo(json.dumps(found))
+    elif not record:
+        click.echo(json.dumps(found, indent=1))
+
+
 @main.command("fleet")
 @click.argument("days", nargs=-1, type=click.Choice(list(SCRIPTS)))
 @click.option("--seed", "seeds", multiple=True, type=int, default=(1,), show_default=True)
