--- a/capershelf/cli.py
+++ b/capershelf/cli.py
@@ -21,7 +21,8 @@
     from capershelf.stream.stream import Stream
 
 GROUPS = {  # imported only when asked for: `serve` pays for none
-    "memory": "capershelf.commands.memory", "control": "capershelf.commands.control",
+    "memory": "capershelf.commands.memory",
+    "control": "capershelf.commands.control",
 }
 EXTRAS = {"memory": "memory", "control": "stream"}  # of this package, which hold their libraries
 
@@ -128,7 +129,8 @@
     except Exception as problem:
         logger.error(
             "the new configuration is not taken, the old one stays in force: {problem}",
-            event="reload-refused", problem=problem
+            event="reload-refused",
+            problem=problem,
         )
     else:
         logger.info("the configuration has been read again", event="reloaded")
--- a/capershelf/commands/control.py
+++ b/capershelf/commands/control.py
@@ -48,8 +48,15 @@
 @click.option("--client-ca", default="", help="and the CA that proxies' certificates must come from.")
 @click.option("--log-format", type=click.Choice(logs.FORMATS), default="text", show_default=True)
 def serve(
-    folder: Path, listen: str, websocket: bool, stages: str, watch: float, certificate: str, key_file: str,
-    client_ca: str, log_format: str,
+    folder: Path,
+    listen: str,
+    websocket: bool,
+    stages: str,
+    watch: float,
+    certificate: str,
+    key_file: str,
+    client_ca: str,
+    log_format: str,
 ) -> None:
     """Offer the versions in FOLDER until SIGTERM or SIGINT."""
     logs.set_up("INFO", log_format)
@@ -93,7 +100,12 @@
 @click.option("--valid", default=30.0, show_default=True, help="Days that the signature holds.")
 @click.option("--unchecked", is_flag=True, help="Publish what breaks a rule, to see it refused.")
 def push(
-    folder: Path, file: Path, epoch: int | None, sign_with: Path | None, key_name: str, valid: float,
+    folder: Path,
+    file: Path,
+    epoch: int | None,
+    sign_with: Path | None,
+    key_name: str,
+    valid: float,
     unchecked: bool,
 ) -> None:
     """Publish FILE as the next version."""
@@ -134,9 +146,10 @@
         raise click.ClickException(str(problem)) from problem
     expires_ms = float(int(time.time() * 1000.0 + 86_400_000.0 * valid_days))
     made = sign(private, key_name or key.stem, published.number, published.digest, expires_ms)
-    put(folder / f"{published.number}.sig", doc.canonical(
-        {"key": made.key, "expires": made.expires_ms, "signature": made.value}
-    ))
+    put(
+        folder / f"{published.number}.sig",
+        doc.canonical({"key": made.key, "expires": made.expires_ms, "signature": made.value}),
+    )
 
 
 def put(path: Path, data: bytes) -> None:
@@ -183,13 +196,20 @@
         return
     rollout = found["rollout"]
     newest = f"{rollout['epoch']}.{rollout['version']}" if rollout else "none"
-    table = Table(title=f"newest {newest}: {rollout['state'] if rollout else 'nothing is published'}",
-                  title_justify="left")
+    table = Table(
+        title=f"newest {newest}: {rollout['state'] if rollout else 'nothing is published'}",
+        title_justify="left",
+    )
     for column in ("proxy", "connected", "has", "last refusal", "notes"):
         table.add_column(column, no_wrap=True)
     for name, proxy in sorted(found["proxies"].items()):
         bad = proxy.get("refuse") or proxy.get("back") or {}
         said = f"{bad['version']} [{bad['code']}] {bad['path']} {bad['text']}" if bad else ""
-        table.add_row(name, "yes" if proxy.get("connected") else "no", proxy.get("has", ""), said,
-                      ", ".join(proxy.get("notes") or ()))
+        table.add_row(
+            name,
+            "yes" if proxy.get("connected") else "no",
+            proxy.get("has", ""),
+            said,
+            ", ".join(proxy.get("notes") or ()),
+        )
     Console(width=None if sys.stdout.isatty() else 200, highlight=False).print(table)
--- a/capershelf/commands/memory.py
+++ b/capershelf/commands/memory.py
@@ -153,12 +153,23 @@
         click.echo(json.dumps(plain(book)))
         return
     rows = [
-        (s.uid, s.endpoint, instant(s.started_ms), instant(s.seen_ms), figure(s.rate_per_s, ".2f"),
-         figure(s.wait_ms), figure(s.base_ms), figure(s.threshold), "yes" if s.silent else "")
+        (
+            s.uid,
+            s.endpoint,
+            instant(s.started_ms),
+            instant(s.seen_ms),
+            figure(s.rate_per_s, ".2f"),
+            figure(s.wait_ms),
+            figure(s.base_ms),
+            figure(s.threshold),
+            "yes" if s.silent else "",
+        )
         for s in book.servers
     ]
-    title = (f"{book.proxy}, generation {book.generation}, {instant(book.saved_ms)} UTC, "
-             f"release {book.release}, one of {book.senders} proxies, {book.asked_per_s:.1f} asked a second")
+    title = (
+        f"{book.proxy}, generation {book.generation}, {instant(book.saved_ms)} UTC, "
+        f"release {book.release}, one of {book.senders} proxies, {book.asked_per_s:.1f} asked a second"
+    )
     show_table(title, ("server", "address", "started", "seen", *FIGURES), rows)
 
 
@@ -169,10 +180,21 @@
     """Read both generations and say what each is; changes nothing."""
     found = opened.look()
     if as_json:
-        click.echo(json.dumps({"generations": [
-            {"name": one.name, "kind": one.kind or "good", "problem": one.problem,
-             "generation": one.book.generation if one.book else None} for one in found
-        ]}))
+        click.echo(
+            json.dumps(
+                {
+                    "generations": [
+                        {
+                            "name": one.name,
+                            "kind": one.kind or "good",
+                            "problem": one.problem,
+                            "generation": one.book.generation if one.book else None,
+                        }
+                        for one in found
+                    ]
+                }
+            )
+        )
     else:
         for one in found:
             state = f"good, generation {one.book.generation}" if one.book else f"{one.kind}: {one.problem}"
@@ -187,8 +209,13 @@
 @group.command()
 @on_a_folder
 @AS_JSON
-@click.option("--at", "at", default="now", show_default=True,
-              help="now, a UTC time (2026-12-01T12:00:00), or seconds after the write (+30).")
+@click.option(
+    "--at",
+    "at",
+    default="now",
+    show_default=True,
+    help="now, a UTC time (2026-12-01T12:00:00), or seconds after the write (+30).",
+)
 def age(opened: Opened, as_json: bool, at: str) -> None:
     """What a start would go by then, before the list says which servers are still the same."""
     book = opened.book()
@@ -201,16 +228,31 @@
     asked = age_asked(book, clocks, lives, most_ms, opened.planners)
     known = [one for one in aged if one is not None]
     if as_json:
-        click.echo(json.dumps({
-            "at_ms": at_ms, "age_ms": at_ms - book.saved_ms, "asked_per_s": asked,
-            "servers": [msgspec.to_builtins(one) for one in known],
-        }))
+        click.echo(
+            json.dumps(
+                {
+                    "at_ms": at_ms,
+                    "age_ms": at_ms - book.saved_ms,
+                    "asked_per_s": asked,
+                    "servers": [msgspec.to_builtins(one) for one in known],
+                }
+            )
+        )
         return
     if clocks.ahead_ms:
         ahead_s = clocks.ahead_ms / 1000.0
         click.echo(f"the book is {ahead_s:.0f} s from the future and taken to be as old as that")
-    rows = [(one.server, figure(one.rate_per_s, ".2f"), figure(one.wait_ms), figure(one.base_ms),
-             figure(one.threshold), "yes" if one.silent else "") for one in known]
+    rows = [
+        (
+            one.server,
+            figure(one.rate_per_s, ".2f"),
+            figure(one.wait_ms),
+            figure(one.base_ms),
+            figure(one.threshold),
+            "yes" if one.silent else "",
+        )
+        for one in known
+    ]
     after_s = (at_ms - book.saved_ms) / 1000.0
     title = f"{book.proxy} {after_s:.0f} s after the write, {asked:.1f} asked a second"
     show_table(title, ("server", *FIGURES), rows)
--- a/capershelf/config.py
+++ b/capershelf/config.py
@@ -144,20 +144,39 @@
         websocket = WebSocketFront(str(_need(ws, "websocket.", "listen")))
     if (eu := table.get("eureka")) is not None:
         eureka = EurekaRegistry(
-            str(_need(eu, "eureka.", "url")), str(_need(eu, "eureka.", "app")), str(eu.get("own-app", "")),
-            _number(eu, "eureka.", "fetch", 5000.0), _number(eu, "eureka.", "renew", 30000.0),
+            str(_need(eu, "eureka.", "url")),
+            str(_need(eu, "eureka.", "app")),
+            str(eu.get("own-app", "")),
+            _number(eu, "eureka.", "fetch", 5000.0),
+            _number(eu, "eureka.", "renew", 30000.0),
         )
     memory = read_memory(table["memory"]) if "memory" in table else None
     stream = read_stream(table["stream"]) if "stream" in table else None
     subset = read_subset(table["subset"]) if "subset" in table else None
-    if memory is not None and stream is not None and stream.folder and (
-        Path(memory.folder).resolve() == Path(stream.folder).resolve()
+    if (
+        memory is not None
+        and stream is not None
+        and stream.folder
+        and (Path(memory.folder).resolve() == Path(stream.folder).resolve())
     ):
         raise ValueError("memory.folder and stream.folder must be two: each is locked by its owner")
     if eureka is not None and table.get("board"):
         raise ValueError("board and eureka are both set: one registry lists the booking servers")
-    known = {"name", "listen", "seed", "limits", "board", "known", "settings", "planners", "websocket",
-             "eureka", "memory", "stream", "subset"}
+    known = {
+        "name",
+        "listen",
+        "seed",
+        "limits",
+        "board",
+        "known",
+        "settings",
+        "planners",
+        "websocket",
+        "eureka",
+        "memory",
+        "stream",
+        "subset",
+    }
     return Config(
         name=str(table.get("name") or environ.get("NODE_NAME") or "capershelf"),
         listen=str(table.get("listen", environ.get("NODE_LISTEN", ""))),
@@ -221,9 +240,11 @@
         if not isinstance(given[name], str):
             raise ValueError(f"settings: stream.{key} must be a path, not {given[name]!r}")
     return StreamSettings(
-        tuple(services), strict=bool(table.get("strict", False)),
+        tuple(services),
+        strict=bool(table.get("strict", False)),
         probation_ms=_number(table, "stream.", "probation", 0.0),
-        margin=_number(table, "stream.", "margin", 0.2), least=int(_number(table, "stream.", "least", 50.0)),
+        margin=_number(table, "stream.", "margin", 0.2),
+        least=int(_number(table, "stream.", "least", 50.0)),
         **given,
     )
 
--- a/capershelf/core/attempt_gate.py
+++ b/capershelf/core/attempt_gate.py
@@ -29,7 +29,9 @@
         now_ms = self._planner.clock.now_ms()
         caller = call.caller
         return (
-            call.state is m.State.OPEN and call.attempt is attempt and not attempt.over  # no other is out
+            call.state is m.State.OPEN
+            and call.attempt is attempt
+            and not attempt.over  # no other is out
             and now_ms < min(attempt.deadline_ms, call.request.expires_ms)
             and now_ms <= attempt.begin_by_ms  # the cold budget
             and now_ms >= self._planner.rests_until(call, server.id)
--- a/capershelf/core/model.py
+++ b/capershelf/core/model.py
@@ -113,9 +113,7 @@
     def rest(self, server: str) -> None:
         """Nobody needs this link: close it, and connect no more until it is woken."""
 
-    def set_up(
-        self, server: str, epoch: int, request: SetUp, left_ms: float, gate: WriteGate
-    ) -> None: ...
+    def set_up(self, server: str, epoch: int, request: SetUp, left_ms: float, gate: WriteGate) -> None: ...
 
     def withdraw(self, server: str, call_id: str = "") -> set[str]:
         """Take back set-ups (that call's, or all) of which no byte has been written: their calls' ids.
@@ -390,7 +388,20 @@
 
 
 Event = (
-    SetUpCame | CallerReleased | CallerCame | CallerLost | CallerBarred
-    | ServerAnswered | ServerReleased | NotBegun | ServerTold | LinkUp | LinkDown | News | Stop
-    | TakeOver | AskOpen | Reached
+    SetUpCame
+    | CallerReleased
+    | CallerCame
+    | CallerLost
+    | CallerBarred
+    | ServerAnswered
+    | ServerReleased
+    | NotBegun
+    | ServerTold
+    | LinkUp
+    | LinkDown
+    | News
+    | Stop
+    | TakeOver
+    | AskOpen
+    | Reached
 )
--- a/capershelf/core/planner.py
+++ b/capershelf/core/planner.py
@@ -113,8 +113,10 @@
             self.take(event)
         except Exception:  # one bad event must not take the thread that everything rests on
             logger.exception(
-                "{planner}: event {what} could not be dealt with", event="planner-fault",
-                planner=self.name, what=type(event).__name__
+                "{planner}: event {what} could not be dealt with",
+                event="planner-fault",
+                planner=self.name,
+                what=type(event).__name__,
             )
 
     def finished(self) -> bool:
@@ -179,8 +181,10 @@
         now_ms = self.clock.now_ms()
         if request.call_class not in self._classes:
             logger.warning(
-                "call {call}: unknown class {call_class!r}", event="class-unknown", call=request.id,
-                call_class=request.call_class
+                "call {call}: unknown class {call_class!r}",
+                event="class-unknown",
+                call=request.id,
+                call_class=request.call_class,
             )
             caller.tell(m.Failed(request.id, m.INVALID))
             return
@@ -190,9 +194,17 @@
         # Guards against a call without an outcome, whatever the module does: the last word is here.
         call.timer = self.at(request.expires_ms, lambda: self._expire(call))
         expires_ms = max(now_ms, request.expires_ms - DEADLINE_MARGIN_MS)
-        self._feed(api.NewCall(
-            request.key, expires_ms, request.call_class, request.far_end, request.number, None, request.width
-        ))
+        self._feed(
+            api.NewCall(
+                request.key,
+                expires_ms,
+                request.call_class,
+                request.far_end,
+                request.number,
+                None,
+                request.width,
+            )
+        )
 
     def _left_behind(self, call: m.Call, caller: m.Caller) -> bool:
         """Whether the call is one whose caller has hung up, which is only not heard here yet: it is left.
@@ -200,8 +212,12 @@
         Guards a caller whose connection broke and who sends its set-up once more, on another.
         """
         before = call.caller
-        if caller.outlived or call.state is not m.State.OPEN or before is None or before is caller or (
-            before.waits(call.request.id)
+        if (
+            caller.outlived
+            or call.state is not m.State.OPEN
+            or before is None
+            or before is caller
+            or (before.waits(call.request.id))
         ):
             return False
         self._leave(call)
@@ -217,14 +233,15 @@
             return
         if not caller.outlived or call.request.description != request.description:
             logger.warning(
-                "call {call}: its id was used again for another call", event="call-id-reused",
-                call=request.id
+                "call {call}: its id was used again for another call", event="call-id-reused", call=request.id
             )
             caller.tell(m.Failed(request.id, m.INVALID))
             return
         logger.info(
-            "call {call}: its caller is back, {state}", event="caller-back", call=call.request.id,
-            state=call.state.value
+            "call {call}: its caller is back, {state}",
+            event="caller-back",
+            call=call.request.id,
+            state=call.state.value,
         )
         if call.caller is None and call.state is m.State.STANDS and caller.outlived:
             call.unheard = call.answer  # a caller that asks again has not seen it
@@ -361,8 +378,9 @@
             return
         call.state = m.State.STANDS
         call.server, call.stood_ms = event.server, now_ms
-        logger.debug("call {call}: stands at {server}", event="call-stands", call=event.id,
-                     server=event.server)
+        logger.debug(
+            "call {call}: stands at {server}", event="call-stands", call=event.id, server=event.server
+        )
         call.answer = m.Answered(event.id, event.description)
         caller = call.caller
         if not self._say(call, call.answer):
@@ -380,8 +398,11 @@
         if call.state is m.State.STANDS and call.server == event.server:
             result = api.Result.RESET if event.cause == m.CUT else api.Result.OK
             self._end_standing(call, result, event.cause, event.report)
-        elif (out := call.attempt) is not None and out.server == event.server and out.epoch is not None and (
-            not event.replaced
+        elif (
+            (out := call.attempt) is not None
+            and out.server == event.server
+            and out.epoch is not None
+            and (not event.replaced)
         ):
             if event.cause == m.NORMAL:
                 self._ended_unanswered(call, event)
@@ -409,8 +430,13 @@
         """A call that stood is over; tell is the cause for a caller that has not ended it itself."""
         call.state = m.State.OVER
         server, number = call.server, call.attempts - 1
-        logger.debug("call {call}: over at {server}: {result}", event="call-over", call=call.request.id,
-                     server=server, result=result.value)
+        logger.debug(
+            "call {call}: over at {server}: {result}",
+            event="call-over",
+            call=call.request.id,
+            server=server,
+            result=result.value,
+        )
         self._forget(call)
         if tell is None and call.caller is not None:
             call.caller.over(call.request.id)
@@ -422,8 +448,12 @@
         self._feed(api.AttemptOver(call.request.key, number, server, result, True, report=report))
 
     def _end_attempt(
-        self, call: m.Call, result: api.Result, why: api.Why = api.Why.UNSAID,
-        report: api.Report | None = None, settled: bool = False,
+        self,
+        call: m.Call,
+        result: api.Result,
+        why: api.Why = api.Why.UNSAID,
+        report: api.Report | None = None,
+        settled: bool = False,
     ) -> None:
         """End the attempt that is out, once, whichever of its ends comes first."""
         attempt = call.attempt
@@ -435,22 +465,36 @@
         if (server := self._known.get(attempt.server)) is not None:
             server.calls.pop(key, None)
         if attempt.epoch is not None and result in (
-            api.Result.TIMEOUT, api.Result.RESET, api.Result.CANCELLED
+            api.Result.TIMEOUT,
+            api.Result.RESET,
+            api.Result.CANCELLED,
         ):
             call.not_before_ms = now_ms + self._settings.release_ms
         if attempt.epoch is not None and result is api.Result.RESET:
             self._reset_at[key] = attempt.server
             self.at(now_ms + LATE_ANSWER_MS, functools.partial(self._heard_out, key))
-        logger.debug("call {call}: attempt {attempt} at {server} is over: {result}", event="attempt-over",
-                     call=call.request.id, attempt=attempt.number, server=attempt.server, result=result.value)
-        if attempt.epoch is not None and result in (api.Result.TIMEOUT, api.Result.CANCELLED) and (
-            # Guards against a set-up that leaves an outbox when its call is out elsewhere already.
-            call.request.id not in self.servers.withdraw(attempt.server, call.request.id)
+        logger.debug(
+            "call {call}: attempt {attempt} at {server} is over: {result}",
+            event="attempt-over",
+            call=call.request.id,
+            attempt=attempt.number,
+            server=attempt.server,
+            result=result.value,
+        )
+        if (
+            attempt.epoch is not None
+            and result in (api.Result.TIMEOUT, api.Result.CANCELLED)
+            and (
+                # Guards against a set-up that leaves an outbox when its call is out elsewhere already.
+                call.request.id not in self.servers.withdraw(attempt.server, call.request.id)
+            )
         ):
             self._release(attempt.server, call.request.id, m.NORMAL)
-        self._feed(api.AttemptOver(
-            call.request.key, attempt.number, attempt.server, result, settled, why, None, report
-        ))
+        self._feed(
+            api.AttemptOver(
+                call.request.key, attempt.number, attempt.server, result, settled, why, None, report
+            )
+        )
 
     def _heard_out(self, key: int) -> None:
         self._reset_at.pop(key, None)
@@ -609,8 +653,10 @@
         unwritten = self.servers.withdraw(server.id)
         for call in list(server.calls.values()):
             attempt = call.attempt
-            if attempt is not None and call.state is m.State.OPEN and (
-                attempt.epoch is None or call.request.id in unwritten
+            if (
+                attempt is not None
+                and call.state is m.State.OPEN
+                and (attempt.epoch is None or call.request.id in unwritten)
             ):
                 self._end_attempt(call, api.Result.NOT_SENT)
         self._rest_if_shut(server)
@@ -630,8 +676,11 @@
         """Guards a server from the calls of the one whose address it has taken over."""
         for server in [one for one in self._known.values() if one.endpoint == endpoint and one.id != by]:
             logger.info(
-                "{planner}: server {server} has the address of {before}", event="address-taken",
-                planner=self.name, server=by, before=server.id
+                "{planner}: server {server} has the address of {before}",
+                event="address-taken",
+                planner=self.name,
+                server=by,
+                before=server.id,
             )
             server.gone, server.epoch = True, None
             del self._known[server.id]
@@ -690,8 +739,10 @@
                     self._carry_out(action)
             except Exception:  # a call's outcome is owed all the same: its deadline is watched here
                 logger.exception(
-                    "{planner}: the module could not take {what}", event="module-fault", planner=self.name,
-                    what=self._todo[0]
+                    "{planner}: the module could not take {what}",
+                    event="module-fault",
+                    planner=self.name,
+                    what=self._todo[0],
                 )
             finally:
                 done = self._todo.popleft()
@@ -704,8 +755,10 @@
             self._perform(action)
         except Exception:
             logger.exception(
-                "{planner}: {what} could not be carried out", event="action-fault", planner=self.name,
-                what=action
+                "{planner}: {what} could not be carried out",
+                event="action-fault",
+                planner=self.name,
+                what=action,
             )
 
     def _perform(self, action: api.Action) -> None:
@@ -727,8 +780,9 @@
             case api.SetTimer(delay_ms, name):
                 self.at(self.clock.now_ms() + delay_ms, lambda: self._feed(api.TimerFired(name)))
             case api.Log(text, server):
-                logger.info("{planner}: {text}", event="decision", planner=self.name, server=server,
-                            text=text)
+                logger.info(
+                    "{planner}: {text}", event="decision", planner=self.name, server=server, text=text
+                )
 
     def _send(self, key: int, server_id: str, timeout_ms: float, begin_by_ms: float) -> None:
         now_ms = self.clock.now_ms()
@@ -825,8 +879,13 @@
             return
         attempt.epoch = server.epoch
         left_ms = attempt.deadline_ms - self.clock.now_ms()
-        logger.debug("call {call}: attempt {attempt} to {server}", event="attempt-out",
-                     call=call.request.id, attempt=attempt.number, server=server.id)
+        logger.debug(
+            "call {call}: attempt {attempt} to {server}",
+            event="attempt-out",
+            call=call.request.id,
+            attempt=attempt.number,
+            server=server.id,
+        )
         self.servers.set_up(server.id, server.epoch, call.request, left_ms, gate)
 
     def _await_list(self, until_ms: float) -> None:
--- a/capershelf/fronts/listener.py
+++ b/capershelf/fronts/listener.py
@@ -75,8 +75,13 @@
         full = connected >= self._most and not (self._make_room(ROOM) and self._has_room())
         framing = self._framing(full) if connected < self._most + TURNED_AWAY else None
         if full or framing is None:
-            MUFFLE.warn(self._house.clock.now_ms(), "{peer}: turned away, {count} callers are connected",
-                        event="caller-turned-away", peer=name, count=connected)
+            MUFFLE.warn(
+                self._house.clock.now_ms(),
+                "{peer}: turned away, {count} callers are connected",
+                event="caller-turned-away",
+                peer=name,
+                count=connected,
+            )
         if framing is None:
             sock.close()
             return
--- a/capershelf/fronts/session.py
+++ b/capershelf/fronts/session.py
@@ -45,8 +45,11 @@
     def warn(self, now_ms: float, text: str, **fields: object) -> None:
         if now_ms - self._since_ms >= LOUD_MS:
             if self._swallowed:
-                logger.warning("{count} more lines about bad callers were left out", event="lines-left-out",
-                               count=self._swallowed)
+                logger.warning(
+                    "{count} more lines about bad callers were left out",
+                    event="lines-left-out",
+                    count=self._swallowed,
+                )
             self._since_ms, self._lines, self._swallowed = now_ms, 0, 0
         self._lines += 1
         if self._lines <= LOUD:
@@ -135,8 +138,15 @@
         self._credit = CREDIT
         self._credit_ms = self.at_ms
         self.connection = Connection(
-            sock, framing, self._message, self._ended, name, self._clock, self.at_ms + HANDSHAKE_MS,
-            due=self._due, on_foul=self._foul,
+            sock,
+            framing,
+            self._message,
+            self._ended,
+            name,
+            self._clock,
+            self.at_ms + HANDSHAKE_MS,
+            due=self._due,
+            on_foul=self._foul,
         )
 
     # -- what the planners see ------------------------------------------------------------------------
@@ -230,8 +240,9 @@
     def _foul(self, reason: str) -> bool:
         """Last words: the calls open here get their outcome, then the caller is told why it is hung up on."""
         now_ms = self._clock.now_ms()
-        MUFFLE.warn(now_ms, "{peer}: hung up on: {reason}", event="caller-hung-up", peer=self.name,
-                    reason=reason)
+        MUFFLE.warn(
+            now_ms, "{peer}: hung up on: {reason}", event="caller-hung-up", peer=self.name, reason=reason
+        )
         with self._lock:
             self._leaving, owed = True, bool(self._open)
         if owed:
@@ -259,8 +270,14 @@
             message = vocabulary.decode(line)
             self._take(message, now_ms)
         except vocabulary.UnusableError as problem:
-            MUFFLE.warn(now_ms, "{peer}: call {call} can't be used: {problem}", event="set-up-unusable",
-                        peer=self.name, call=problem.id, problem=str(problem))
+            MUFFLE.warn(
+                now_ms,
+                "{peer}: call {call} can't be used: {problem}",
+                event="set-up-unusable",
+                peer=self.name,
+                call=problem.id,
+                problem=str(problem),
+            )
             with self._lock:
                 self._strikes += 1
                 out = self._strikes > STRIKES
@@ -295,7 +312,8 @@
         with self._lock:
             size = len(request.description)
             taken = len(self._open) < min(MOST_OPEN, OPEN + self._stood) and (
-                self._house.reserve(named, size, self))
+                self._house.reserve(named, size, self)
+            )
             if taken:
                 self._open[named] = size
         if not taken:
--- a/capershelf/interface.py
+++ b/capershelf/interface.py
@@ -241,8 +241,16 @@
 
 
 Event = (
-    NewCall | Stands | AttemptOver | CallerGone | ServerList | ServerReport | WayMended | Recalled
-    | NewSettings | TimerFired
+    NewCall
+    | Stands
+    | AttemptOver
+    | CallerGone
+    | ServerList
+    | ServerReport
+    | WayMended
+    | Recalled
+    | NewSettings
+    | TimerFired
 )
 
 
--- a/capershelf/logs.py
+++ b/capershelf/logs.py
@@ -47,6 +47,6 @@
         line["message"] = record["message"]
         if (fault := record["exception"]) is not None:
             line["fault"] = f"{fault.type.__name__ if fault.type else 'unknown'}: {fault.value}"
-            line["traceback"] = str(message)[len(record["message"]):].strip()
+            line["traceback"] = str(message)[len(record["message"]) :].strip()
         self._out.write(json.dumps(line, default=str, ensure_ascii=False) + "\n")
         self._out.flush()
--- a/capershelf/memory/ageing.py
+++ b/capershelf/memory/ageing.py
@@ -84,7 +84,11 @@
         threshold = max(LEAST_THRESHOLD, threshold * part / threshold_weight) if claimed else None
     rate = record.rate_per_s * part * weight(clocks.age_ms(record.rate_ms), lives.rate_ms)
     return LearnedServer(
-        record.uid, rate, record.wait_ms * weight(age_ms, lives.wait_ms), base_ms, threshold,
+        record.uid,
+        rate,
+        record.wait_ms * weight(age_ms, lives.wait_ms),
+        base_ms,
+        threshold,
         record.silent and weight(age_ms, lives.silence_ms) >= 0.5,
     )
 
--- a/capershelf/memory/disk.py
+++ b/capershelf/memory/disk.py
@@ -73,7 +73,7 @@
         with self._opened(name, os.O_CREAT | os.O_TRUNC | os.O_WRONLY) as file:
             left = memoryview(data)
             while left:
-                left = left[os.write(file, left):]
+                left = left[os.write(file, left) :]
 
     def sync(self, name: str) -> None:
         with self._opened(name, os.O_RDONLY) as file:
--- a/capershelf/memory/generations.py
+++ b/capershelf/memory/generations.py
@@ -41,7 +41,7 @@
 
 def unframe(magic: bytes, newest: int, data: bytes, key: bytes | None) -> tuple[int, bytes]:
     """The format's number and the body, once the digest has proved both."""
-    if len(data) < FRAME_BYTES or data[:len(magic)] != magic:
+    if len(data) < FRAME_BYTES or data[: len(magic)] != magic:
         raise SpoiltError("no such file of this program" if data else "empty")
     _, number, flags, length = HEAD.unpack_from(data)
     if length != len(data) - FRAME_BYTES:
@@ -50,7 +50,7 @@
     if keyed and key is None:
         raise RefusedError("it is keyed, and no key is set")
     body = data[FRAME_BYTES:]
-    if digest(data[:HEAD.size], body, key if keyed else None) != data[HEAD.size:FRAME_BYTES]:
+    if digest(data[: HEAD.size], body, key if keyed else None) != data[HEAD.size : FRAME_BYTES]:
         raise SpoiltError("the digest is not that of its contents" + (" under this key" if keyed else ""))
     if key is not None and not keyed:
         raise RefusedError("it is not keyed, and a key is set")
--- a/capershelf/memory/keeper.py
+++ b/capershelf/memory/keeper.py
@@ -92,12 +92,15 @@
             said = ", ".join(f"{number} ({verdict.value})" for verdict, number in counts.items())
             logger.info(
                 "memory: {count} servers start from what was known; listed: {listed}",
-                event="memory-recalled", count=len(known), listed=said
+                event="memory-recalled",
+                count=len(known),
+                listed=said,
             )
         if self._first:
             self._first, self._began_ms = False, now_ms
-            self._asked_before = age_asked(self._book, clocks, self._terms.lives, self._terms.most_age_ms,
-                                           self._terms.planners)
+            self._asked_before = age_asked(
+                self._book, clocks, self._terms.lives, self._terms.most_age_ms, self._terms.planners
+            )
         # The module goes by the newest figure it is told and lets it fade: a server that is listed a little
         # later must neither wipe out what callers ask here nor make it new.
         asked = self._asked_before * math.exp((self._began_ms - now_ms) / RATE_MS)
@@ -109,10 +112,17 @@
         """What goes on in the next book until it is learned anew, with its own age, not as if it were new."""
         clocks = Clocks(self._book.saved_ms if self._book else now_ms, now_ms)
         return ServerRecord(
-            uid=old.uid, endpoint=located.endpoint, started_ms=located.listed.started_ms, vouched=vouched,
+            uid=old.uid,
+            endpoint=located.endpoint,
+            started_ms=located.listed.started_ms,
+            vouched=vouched,
             seen_ms=now_ms - clocks.age_ms(old.seen_ms),
-            rate_per_s=aged.rate_per_s, rate_ms=now_ms, wait_ms=aged.wait_ms,
-            base_ms=old.base_ms, threshold=aged.threshold, silent=aged.silent,
+            rate_per_s=aged.rate_per_s,
+            rate_ms=now_ms,
+            wait_ms=aged.wait_ms,
+            base_ms=old.base_ms,
+            threshold=aged.threshold,
+            silent=aged.silent,
         )
 
     def _follow(self, news: m.News, now_ms: float) -> None:
@@ -169,8 +179,9 @@
             if not self._ending:  # what callers ask of a proxy that no longer accepts them says nothing
                 self._asked_per_s = 1000.0 * door.asked_rate()
             self._ending |= everything
-            self._last = Snapshot(self._terms.planner, self.servers, self._asked_per_s, now_ms,
-                                  self._large or everything)
+            self._last = Snapshot(
+                self._terms.planner, self.servers, self._asked_per_s, now_ms, self._large or everything
+            )
             self._large = self._new = False
             self._hand_over(self._last)
         return now_ms + SWEEP_MS
@@ -184,7 +195,15 @@
             if faded > rate:
                 rate, rate_ms = old.rate_per_s, old.rate_ms
         return ServerRecord(
-            uid=known.server, endpoint=located.endpoint, started_ms=located.listed.started_ms,
-            vouched=vouched, seen_ms=now_ms, rate_per_s=rate, rate_ms=rate_ms, wait_ms=known.wait_ms,
-            base_ms=known.base_ms, threshold=known.threshold, silent=known.silent,
+            uid=known.server,
+            endpoint=located.endpoint,
+            started_ms=located.listed.started_ms,
+            vouched=vouched,
+            seen_ms=now_ms,
+            rate_per_s=rate,
+            rate_ms=rate_ms,
+            wait_ms=known.wait_ms,
+            base_ms=known.base_ms,
+            threshold=known.threshold,
+            silent=known.silent,
         )
--- a/capershelf/memory/memory.py
+++ b/capershelf/memory/memory.py
@@ -36,9 +36,12 @@
 def lives_of(settings: MemorySettings) -> HalfLives:
     """The half-lives of the configuration."""
     return HalfLives(
-        rate_ms=settings.rate_half_life_ms, base_ms=settings.base_half_life_ms,
-        threshold_ms=settings.threshold_half_life_ms, wait_ms=settings.wait_half_life_ms,
-        silence_ms=settings.silence_half_life_ms, asked_ms=settings.asked_half_life_ms,
+        rate_ms=settings.rate_half_life_ms,
+        base_ms=settings.base_half_life_ms,
+        threshold_ms=settings.threshold_half_life_ms,
+        wait_ms=settings.wait_half_life_ms,
+        silence_ms=settings.silence_half_life_ms,
+        asked_ms=settings.asked_half_life_ms,
     )
 
 
@@ -84,14 +87,16 @@
         except NewerError as problem:
             logger.warning(
                 "memory: {problem}; left untouched, this proxy serves without memory",
-                event="memory-newer", problem=problem
+                event="memory-newer",
+                problem=problem,
             )
             self._folder.unlock()
             return
         except OSError as problem:
             logger.warning(
                 "memory: {problem}; this proxy serves without memory until its next start",
-                event="memory-unusable", problem=problem
+                event="memory-unusable",
+                problem=problem,
             )
             self._folder.unlock()
             return
@@ -99,7 +104,12 @@
             logger.warning("memory: {problem}", event="memory-set-aside", problem=line)
         self._say(book, clock.now_ms(), settings.most_age_ms)
         self._writer = writer = Writer(
-            store, clock, settings.period_ms, who.release, who.name, who.senders,
+            store,
+            clock,
+            settings.period_ms,
+            who.release,
+            who.name,
+            who.senders,
             book.generation if book is not None else 0,
         )
         lives = lives_of(settings)
@@ -116,17 +126,22 @@
         if age_s < 0:
             logger.warning(
                 "memory: written {ahead_s:.0f} s in the future; taken to be as old as that",
-                event="memory-from-the-future", ahead_s=-age_s
+                event="memory-from-the-future",
+                ahead_s=-age_s,
             )
         if abs(age_s) * 1000.0 > most_age_ms:
             logger.warning(
                 "memory: {age_s:.0f} s old, beyond the greatest age: nothing of it counts",
-                event="memory-too-old", age_s=abs(age_s)
+                event="memory-too-old",
+                age_s=abs(age_s),
             )
         logger.info(
             "memory: generation {generation} of release {release}, {age_s:.0f} s old, {count} servers",
-            event="memory-read", generation=book.generation, release=book.release, age_s=age_s,
-            count=len(book.servers)
+            event="memory-read",
+            generation=book.generation,
+            release=book.release,
+            age_s=age_s,
+            count=len(book.servers),
         )
 
     def start(self) -> None:
@@ -142,6 +157,6 @@
         if not self._writer.ended.wait(self._clock.seconds_until(by_ms)):
             logger.warning(
                 "memory: the last write did not end in time; the one before holds",
-                event="memory-last-write-late"
+                event="memory-last-write-late",
             )
         self._folder.unlock()
--- a/capershelf/memory/schedule.py
+++ b/capershelf/memory/schedule.py
@@ -77,9 +77,15 @@
     bases = [r.base_ms for r in same if r.base_ms is not None]
     thresholds = [r.threshold for r in same if r.threshold is not None]
     return ServerRecord(
-        uid=newest.uid, endpoint=newest.endpoint, started_ms=newest.started_ms, vouched=newest.vouched,
-        seen_ms=newest.seen_ms, rate_per_s=sum(r.rate_per_s for r in same),
-        rate_ms=max(r.rate_ms for r in same), wait_ms=newest.wait_ms,
-        base_ms=min(bases) if bases else None, threshold=sum(thresholds) if thresholds else None,
+        uid=newest.uid,
+        endpoint=newest.endpoint,
+        started_ms=newest.started_ms,
+        vouched=newest.vouched,
+        seen_ms=newest.seen_ms,
+        rate_per_s=sum(r.rate_per_s for r in same),
+        rate_ms=max(r.rate_ms for r in same),
+        wait_ms=newest.wait_ms,
+        base_ms=min(bases) if bases else None,
+        threshold=sum(thresholds) if thresholds else None,
         silent=newest.silent,
     )
--- a/capershelf/memory/writer.py
+++ b/capershelf/memory/writer.py
@@ -24,7 +24,13 @@
     """Runs until it is told to end; a disk that fails is tried again ever more seldom."""
 
     def __init__(
-        self, store: Store, clock: Clock, period_ms: float, release: str, proxy: str, senders: int,
+        self,
+        store: Store,
+        clock: Clock,
+        period_ms: float,
+        release: str,
+        proxy: str,
+        senders: int,
         generation: int,
     ) -> None:
         self.inbox: Inbox[Snapshot | End] = Inbox(clock)
@@ -57,8 +63,12 @@
     def _write(self) -> None:
         began_ms = self._clock.now_ms()
         book = Book(
-            release=self._release, proxy=self._proxy, generation=self._generation + 1, saved_ms=began_ms,
-            senders=self._senders, asked_per_s=sum(part.asked_per_s for part in self._parts.values()),
+            release=self._release,
+            proxy=self._proxy,
+            generation=self._generation + 1,
+            saved_ms=began_ms,
+            senders=self._senders,
+            asked_per_s=sum(part.asked_per_s for part in self._parts.values()),
             servers=merge([part.servers for part in self._parts.values()]),
         )
         try:
@@ -67,20 +77,26 @@
             self.failures += 1
             again_ms = self._schedule.failed(self._clock.now_ms())
             logger.warning(
-                "memory: not written, again in {again_s:.0f} s: {problem}", event="memory-unwritten",
-                again_s=again_ms / 1000.0, problem=problem
+                "memory: not written, again in {again_s:.0f} s: {problem}",
+                event="memory-unwritten",
+                again_s=again_ms / 1000.0,
+                problem=problem,
             )
             return
         if self.failures:
             logger.info(
-                "memory: written again after {count} failures", event="memory-written-again",
-                count=self.failures
+                "memory: written again after {count} failures",
+                event="memory-written-again",
+                count=self.failures,
             )
         self.writes, self.failures = self.writes + 1, 0
         self._generation = book.generation
         self.last_ms = self._clock.now_ms() - began_ms
         self._schedule.wrote(self._clock.now_ms())
         logger.debug(
-            "memory: {count} servers, {bytes} bytes in {took_ms:.1f} ms", event="memory-written",
-            count=len(book.servers), bytes=self.last_bytes, took_ms=self.last_ms
+            "memory: {count} servers, {bytes} bytes in {took_ms:.1f} ms",
+            event="memory-written",
+            count=len(book.servers),
+            bytes=self.last_bytes,
+            took_ms=self.last_ms,
         )
--- a/capershelf/net/connection.py
+++ b/capershelf/net/connection.py
@@ -184,9 +184,7 @@
                     return True
                 data, begun = data[sent:], sent > 0
             if self._queued + len(data) > OUTBOX_BYTES:
-                logger.warning(
-                    "{peer}: its peer reads too slowly, closed", event="peer-slow", peer=self.name
-                )
+                logger.warning("{peer}: its peer reads too slowly, closed", event="peer-slow", peer=self.name)
                 self._shut()
                 return False
             self._outbox.append((data, tag, gate))
@@ -317,9 +315,7 @@
             except OverError as over:
                 self.dropped = str(over)
                 said = over.foul and self._on_foul(self.dropped)
-                farewell = over.farewell or (
-                    self._framing.farewell(FOUL, self.dropped) if over.foul else b""
-                )
+                farewell = over.farewell or (self._framing.farewell(FOUL, self.dropped) if over.foul else b"")
                 self._said = self._post(farewell) if farewell else said
         except OSError:
             pass  # reset: an end like any other
--- a/capershelf/net/http.py
+++ b/capershelf/net/http.py
@@ -46,7 +46,11 @@
         self._rest = bytearray()
 
     def request(
-        self, method: str, path: str, deadline_ms: float, body: bytes = b"",
+        self,
+        method: str,
+        path: str,
+        deadline_ms: float,
+        body: bytes = b"",
         fields: dict[str, str] | None = None,
     ) -> tuple[int, bytes]:
         """Status and body by the deadline, or an OSError; a kept connection found closed is opened again."""
--- a/capershelf/net/links.py
+++ b/capershelf/net/links.py
@@ -54,7 +54,11 @@
     """One attempt to connect, to each address of a host in turn; says once how it came out."""
 
     def __init__(
-        self, address: str, poller: Poller, clock: Clock, by_ms: float,
+        self,
+        address: str,
+        poller: Poller,
+        clock: Clock,
+        by_ms: float,
         done: Callable[[socket.socket | None, Exception | None], None],
     ) -> None:
         self._poller, self._clock, self._by_ms, self._done = poller, clock, by_ms, done
@@ -160,8 +164,16 @@
     """
 
     def __init__(
-        self, server: str, endpoint: str, clock: Clock, connect_ms: float, post: Post, poller: Poller,
-        spread_ms: float = 0.0, resting: bool = False, repairs: Repairs | None = None,
+        self,
+        server: str,
+        endpoint: str,
+        clock: Clock,
+        connect_ms: float,
+        post: Post,
+        poller: Poller,
+        spread_ms: float = 0.0,
+        resting: bool = False,
+        repairs: Repairs | None = None,
     ) -> None:
         self._repairs = repairs or Repairs()
         self._later_ms = -math.inf  # a silent connection is not replaced before this
@@ -266,8 +278,10 @@
         else:
             if self._failures == 0:
                 logger.info(
-                    "server {server}: no connection: {problem}", event="link-refused", server=self.server,
-                    problem=problem
+                    "server {server}: no connection: {problem}",
+                    event="link-refused",
+                    server=self.server,
+                    problem=problem,
                 )
             self._failed(isinstance(problem, ConnectionRefusedError))
 
@@ -286,8 +300,15 @@
         now_ms = self._clock.now_ms()
         epoch = next(EPOCHS)
         connection = Connection(
-            sock, self._framing(), lambda line: self._message(line, epoch), lambda: None,
-            f"link {self.server}", self._clock, now_ms + self._connect_ms, self._open, self._due,
+            sock,
+            self._framing(),
+            lambda line: self._message(line, epoch),
+            lambda: None,
+            f"link {self.server}",
+            self._clock,
+            now_ms + self._connect_ms,
+            self._open,
+            self._due,
             on_late=self._late,
         )
         self._heard_ms, self._states = now_ms, 0
@@ -372,8 +393,10 @@
         self._failures = 0
         if connection.dropped:
             logger.warning(
-                "server {server}: connection dropped: {reason}", event="link-dropped",
-                server=self.server, reason=connection.dropped
+                "server {server}: connection dropped: {reason}",
+                event="link-dropped",
+                server=self.server,
+                reason=connection.dropped,
             )
             self._dropped = True
         self._post(m.LinkDown(self.server, self._epoch))
@@ -492,8 +515,14 @@
     """
 
     def __init__(
-        self, clock: Clock, connect_ms: float, post: Post, fleet: int = 1, name: str = "links",
-        most: int = 1 << 20, idle: Callable[[str], bool] = lambda server: True,
+        self,
+        clock: Clock,
+        connect_ms: float,
+        post: Post,
+        fleet: int = 1,
+        name: str = "links",
+        most: int = 1 << 20,
+        idle: Callable[[str], bool] = lambda server: True,
     ) -> None:
         self._clock, self._connect_ms, self._post, self._fleet = clock, connect_ms, post, fleet
         self._most, self._idle = most, idle
@@ -510,7 +539,14 @@
         spread_ms = OPEN_MS * len(self._links) + FLEET_MS * self._fleet
         resting = len(self._awake) >= self._most
         self._links[server] = Link(
-            server, endpoint, self._clock, self._connect_ms, self._post, self.poller, spread_ms, resting,
+            server,
+            endpoint,
+            self._clock,
+            self._connect_ms,
+            self._post,
+            self.poller,
+            spread_ms,
+            resting,
             self._repairs,
         )
         if not resting:
@@ -547,9 +583,7 @@
             del self._awake[server]
             self._links[server].rest()
 
-    def set_up(
-        self, server: str, epoch: int, request: m.SetUp, left_ms: float, gate: m.WriteGate
-    ) -> None:
+    def set_up(self, server: str, epoch: int, request: m.SetUp, left_ms: float, gate: m.WriteGate) -> None:
         if (link := self._use(server)) is not None:
             link.send(vocabulary.set_up_bytes(request, left_ms), epoch, request.id, gate)
 
--- a/capershelf/net/tls.py
+++ b/capershelf/net/tls.py
@@ -51,8 +51,9 @@
         super().__init__()
         self._inner = inner
         self._in, self._out = ssl.MemoryBIO(), ssl.MemoryBIO()
-        self._tls = context.wrap_bio(self._in, self._out, server_side=server,
-                                     server_hostname=None if server else host)
+        self._tls = context.wrap_bio(
+            self._in, self._out, server_side=server, server_hostname=None if server else host
+        )
         self._lock = threading.Lock()  # over the TLS object
         self._shaken = False
 
@@ -70,7 +71,7 @@
             return self._out.read()
 
     def filled(self, count: int) -> Iterator[bytes]:
-        self._in.write(bytes(self.buffer[self.have:self.have + count]))
+        self._in.write(bytes(self.buffer[self.have : self.have + count]))
         if not self._shaken:
             with self._lock:
                 self._shake()
--- a/capershelf/net/vocabulary.py
+++ b/capershelf/net/vocabulary.py
@@ -23,7 +23,10 @@
 DEPTH = 16  # of brackets within each other; more is not of this protocol
 WHYS = {"atb": api.Why.NO_LINE, "acc": api.Why.PROCESSOR_FULL, "sub": api.Why.NUMBER_BUSY}
 RESULTS = {
-    34: api.Result.FULL, 17: api.Result.ERROR, 47: api.Result.ERROR, 102: api.Result.NOT_SENT,
+    34: api.Result.FULL,
+    17: api.Result.ERROR,
+    47: api.Result.ERROR,
+    102: api.Result.NOT_SENT,
     41: api.Result.RESET,
 }
 
@@ -95,7 +98,10 @@
 
 
 def encode(
-    kind: str, call_id: str, cause: int | None = None, sdp: str | None = None,
+    kind: str,
+    call_id: str,
+    cause: int | None = None,
+    sdp: str | None = None,
     fields: dict[str, str] | None = None,
 ) -> bytes:
     message: dict[str, Any] = {"type": kind, "id": call_id, "fields": fields or {}}
--- a/capershelf/node.py
+++ b/capershelf/node.py
@@ -120,8 +120,11 @@
         count = config.planners
         self.planners = [
             Planner(
-                planner_settings(config.settings, number, count), config.seed + number, self.clock,
-                config.connect_ms, f"planner {number}",
+                planner_settings(config.settings, number, count),
+                config.seed + number,
+                self.clock,
+                config.connect_ms,
+                f"planner {number}",
             )
             for number in range(count)
         ]
@@ -129,8 +132,13 @@
             planner.owed = self._owed
             planner.subset = open_subset(config, planner_settings(config.settings, number, count))
             planner.servers = Links(
-                self.clock, config.connect_ms, self._from_server(planner), config.settings.gateway_count,
-                f"links of {planner.name}", links_share(config), planner.idle,
+                self.clock,
+                config.connect_ms,
+                self._from_server(planner),
+                config.settings.gateway_count,
+                f"links of {planner.name}",
+                links_share(config),
+                planner.idle,
             )
         self.memory = open_memory(config, self.clock)
         if self.memory is not None:
@@ -145,7 +153,12 @@
         for listen, framing, outlived in wanted:
             most = max(1, callers_share(config) // len(wanted))
             house = House(
-                self.clock, terms, self._route, self._every, self._ready, outlived,
+                self.clock,
+                terms,
+                self._route,
+                self._every,
+                self._ready,
+                outlived,
                 int(config.memory_mb * HELD_SHARE * 2**20) // len(wanted),
             )
             self.houses.append(house)
@@ -212,8 +225,10 @@
         for front in self.fronts:
             front.start()
         logger.info(
-            "{proxy} serves on {listen}", event="serving", proxy=self.config.name,
-            listen=self.config.listen or "no JSON-lines front"
+            "{proxy} serves on {listen}",
+            event="serving",
+            proxy=self.config.name,
+            listen=self.config.listen or "no JSON-lines front",
         )
 
     def adopt(self, config: Config, done: Callable[[], None]) -> bool:
@@ -253,8 +268,9 @@
             for source in self.sources:
                 source.move(address)
             logger.info(
-                "the list of booking servers is now followed at {address}", event="registry-moved",
-                address=address
+                "the list of booking servers is now followed at {address}",
+                event="registry-moved",
+                address=address,
             )
         elif same_kind and not self.sources and new.known != old.known:
             for news in read_notices(new.known, -1)[1]:
@@ -266,9 +282,11 @@
             changed.append("kind of registry")
         for name in changed:
             logger.warning("the new {field} holds from the next start on", event="next-start", field=name)
-        self.config = dataclasses.replace(
-            old, board=new.board, known=new.known, eureka=new.eureka, table=new.table
-        ) if same_kind else old
+        self.config = (
+            dataclasses.replace(old, board=new.board, known=new.known, eureka=new.eureka, table=new.table)
+            if same_kind
+            else old
+        )
 
     def stop(self) -> None:
         """Go on for a while, answer all that was taken, then end."""
--- a/capershelf/registry/eureka.py
+++ b/capershelf/registry/eureka.py
@@ -66,8 +66,10 @@
         started_ms = float((instance.get("leaseInfo") or {}).get("serviceUpTimestamp") or 0)
         active = instance["status"] == "UP"
         listed = api.ListedServer(
-            instance_id, int(metadata.get("place", 0)),
-            api.Standing.ACTIVE if active else api.Standing.DRAINING, started_ms or None,
+            instance_id,
+            int(metadata.get("place", 0)),
+            api.Standing.ACTIVE if active else api.Standing.DRAINING,
+            started_ms or None,
         )
         endpoint = f"{instance.get('ipAddr') or instance['hostName']}:{int(instance['port']['$'])}"
         if metadata.get("transport") == "ws":
@@ -158,8 +160,7 @@
         """The whole list the first time, then what changed; the whole again if that does not add up."""
         if self._instances is not None and not self._take_delta():
             logger.info(
-                "eureka: the changes do not add up, the whole list is fetched again",
-                event="eureka-refetch"
+                "eureka: the changes do not add up, the whole list is fetched again", event="eureka-refetch"
             )
             self._instances = None
         if self._instances is None:
@@ -218,11 +219,17 @@
         host, _, port = self._listen.rpartition(":")
         host = host.strip("[]")
         instance = {
-            "instanceId": self._name, "hostName": host, "ipAddr": host, "app": self._config.own_app.upper(),
-            "vipAddress": self._config.own_app.lower(), "status": "UP",
-            "port": {"$": int(port or 0), "@enabled": "true"}, "securePort": {"$": 443, "@enabled": "false"},
+            "instanceId": self._name,
+            "hostName": host,
+            "ipAddr": host,
+            "app": self._config.own_app.upper(),
+            "vipAddress": self._config.own_app.lower(),
+            "status": "UP",
+            "port": {"$": int(port or 0), "@enabled": "true"},
+            "securePort": {"$": 443, "@enabled": "false"},
             "dataCenterInfo": {
-                "@class": "com.netflix.appinfo.InstanceInfo$DefaultDataCenterInfo", "name": "MyOwn",
+                "@class": "com.netflix.appinfo.InstanceInfo$DefaultDataCenterInfo",
+                "name": "MyOwn",
             },
             "leaseInfo": {
                 "renewalIntervalInSecs": max(1, round(self._config.renew_ms / 1000.0)),
--- a/capershelf/sight/cold.py
+++ b/capershelf/sight/cold.py
@@ -44,9 +44,7 @@
 
     __slots__ = ("_count", "_next", "_passed", "_at_ms", "_open", "_multiple", "_share")
 
-    def __init__(
-        self, slot: int, count: int, now_ms: float, multiple: float, share: float = 1.0
-    ) -> None:
+    def __init__(self, slot: int, count: int, now_ms: float, multiple: float, share: float = 1.0) -> None:
         self._count, self._share = count, share
         self._multiple = multiple
         self._next = float(slot % count + 1)  # where the counter opens the next turn
--- a/capershelf/sight/fleet.py
+++ b/capershelf/sight/fleet.py
@@ -117,7 +117,12 @@
         self.worths[worth] = self.worths.get(worth, 0.0) + 1.0
 
     def told(
-        self, now_ms: float, server: str, free: float | None, lines: float | None, per_s: float | None,
+        self,
+        now_ms: float,
+        server: str,
+        free: float | None,
+        lines: float | None,
+        per_s: float | None,
     ) -> None:
         """A report of the server's, asked for or not."""
         if (seen := self.servers.get(server)) is None:
@@ -195,8 +200,11 @@
             return None
         if self.any_ratio is not None:
             return lines * self.any_ratio / (1.0 + LINES_ERROR)
-        others = [one for one in self.servers.values()
-                  if one is not seen and one.active and one.lines > 0.0 and one.flow.per_s is not None]
+        others = [
+            one
+            for one in self.servers.values()
+            if one is not seen and one.active and one.lines > 0.0 and one.flow.per_s is not None
+        ]
         carried = sum(one.flow.per_s or 0.0 for one in others)
         return lines * carried / sum(one.lines for one in others) if carried > 0.0 else None
 
--- a/capershelf/stream/document.py
+++ b/capershelf/stream/document.py
@@ -18,8 +18,9 @@
 
 def canonical(document: Any) -> bytes:
     """One spelling for one document: sorted keys, no spaces, UTF-8."""
-    return json.dumps(document, sort_keys=True, separators=(",", ":"), ensure_ascii=False,
-                      allow_nan=False).encode()
+    return json.dumps(
+        document, sort_keys=True, separators=(",", ":"), ensure_ascii=False, allow_nan=False
+    ).encode()
 
 
 def digest(data: bytes) -> str:
--- a/capershelf/stream/fields.py
+++ b/capershelf/stream/fields.py
@@ -1,8 +1,8 @@
 """When each field of a new version holds.  Pure.
 
-    now         in every planner at the same moment, for open calls too
-    new calls   for calls taken from then on; open ones keep what they were taken under
-    next start  taken and noted in the acknowledgement, or refused where the operator wants it so
+now         in every planner at the same moment, for open calls too
+new calls   for calls taken from then on; open ones keep what they were taken under
+next start  taken and noted in the acknowledgement, or refused where the operator wants it so
 """
 
 from __future__ import annotations
@@ -27,8 +27,11 @@
     (r"settings\.categories(\[\d+\])?(\..*)?", When.NEW_CALLS),
     (r"settings\.family-info\.(pools-by-class|channels-needed)(\[.*)?", When.NEW_CALLS),
     (r"settings\.family-info\.(release|t1|says-wait)", When.NOW),
-    (r"settings\.bounds\.(cancel|connect-timeout|max-attempts|max-retry-after|may-probe|retry-after"
-     r"|may-duplicate)", When.NOW),
+    (
+        r"settings\.bounds\.(cancel|connect-timeout|max-attempts|max-retry-after|may-probe|retry-after"
+        r"|may-duplicate)",
+        When.NOW,
+    ),
     (r"settings\.contract\.[a-z-]+", When.NOW),
     (r"settings\.tenants(\[\d+\])?(\..*)?", When.NOW),
     (r"settings\.over-share-worth", When.NOW),
--- a/capershelf/stream/follower.py
+++ b/capershelf/stream/follower.py
@@ -93,8 +93,16 @@
     """Runs until it is told to end."""
 
     def __init__(
-        self, settings: StreamSettings, base: Config, started: InForce, ring: Callable[[], KeyRing | None],
-        keep: Keep | None, host: Host, clock: Clock, release: str, environ: Mapping[str, str],
+        self,
+        settings: StreamSettings,
+        base: Config,
+        started: InForce,
+        ring: Callable[[], KeyRing | None],
+        keep: Keep | None,
+        host: Host,
+        clock: Clock,
+        release: str,
+        environ: Mapping[str, str],
     ) -> None:
         self.inbox: Inbox[Opened | Line | Closed | Rebase | End] = Inbox(clock)
         self._settings, self._base, self._host, self._clock = settings, base, host, clock
@@ -128,9 +136,7 @@
                 try:
                     self._follow(service)
                 except Exception:  # nothing that a service sends may end the following
-                    logger.exception(
-                        "stream: a fault with {service}", event="stream-fault", service=service
-                    )
+                    logger.exception("stream: a fault with {service}", event="stream-fault", service=service)
                     self._hang_up("a fault here")
                 self._order.failed()
 
@@ -147,8 +153,7 @@
             sock = connect(address, self._clock, now_ms + CONNECT_MS)
         except (OSError, ValueError) as problem:
             logger.info(
-                "stream: {service}: {problem}", event="service-unreachable", service=service,
-                problem=problem
+                "stream: {service}: {problem}", event="service-unreachable", service=service, problem=problem
             )
             return
         framing: Framing = WebSocket(host) if websocket else Lines()
@@ -164,16 +169,25 @@
             self.inbox.put(Line(number, data))
 
         self._connection = connection = Connection(
-            sock, framing, message, lambda: self.inbox.put(Closed(number)), f"control service {service}",
-            self._clock, now_ms + HANDSHAKE_MS, lambda: self.inbox.put(Opened(number)), due=self._due,
+            sock,
+            framing,
+            message,
+            lambda: self.inbox.put(Closed(number)),
+            f"control service {service}",
+            self._clock,
+            now_ms + HANDSHAKE_MS,
+            lambda: self.inbox.put(Opened(number)),
+            due=self._due,
         )
         connection.start()
         while self._connection is not None:
             self._step(min(self._beat_ms, self._fetch_by_ms))
         if connection.dropped:
             logger.info(
-                "stream: {service} left: {reason}", event="service-left", service=service,
-                reason=connection.dropped
+                "stream: {service} left: {reason}",
+                event="service-left",
+                service=service,
+                reason=connection.dropped,
             )
 
     def _due(self, half_ms: float) -> float:
@@ -182,8 +196,10 @@
     def _hang_up(self, reason: str) -> None:
         if self._connection is not None:
             logger.warning(
-                "stream: {service} hung up on: {reason}", event="service-hung-up", service=self._service,
-                reason=reason
+                "stream: {service} hung up on: {reason}",
+                event="service-hung-up",
+                service=self._service,
+                reason=reason,
             )
             self._connection.close()
             self._connection = None
@@ -249,8 +265,11 @@
                 case protocol.Refusing(number, code, text):
                     logger.warning(
                         "stream: version {version} of {service} refused: {reason} [{code}]",
-                        event="version-refused", version=number, service=self._service, reason=text,
-                        code=code
+                        event="version-refused",
+                        version=number,
+                        service=self._service,
+                        reason=text,
+                        code=code,
                     )
                 case protocol.Arrived():
                     self._consider(step)
@@ -270,7 +289,11 @@
 
     def _plan(self, document: dict[str, Any]) -> takeover.TakeOver | Offence:
         return takeover.plan(
-            self._base.table, self._host.config.table, document, self._open_classes(), self._settings.strict,
+            self._base.table,
+            self._host.config.table,
+            document,
+            self._open_classes(),
+            self._settings.strict,
             self._environ,
         )
 
@@ -298,9 +321,11 @@
         self._in_force = InForce(arrived.number, arrived.digest, arrived.document)
         self._save()
         logger.info(
-            "stream: version {version} of {service} is in force{notes}", event="version-in-force",
-            version=arrived.number, service=self._service,
-            notes=f"; from the next start on: {', '.join(found.notes)}" if found.notes else ""
+            "stream: version {version} of {service} is in force{notes}",
+            event="version-in-force",
+            version=arrived.number,
+            service=self._service,
+            notes=f"; from the next start on: {', '.join(found.notes)}" if found.notes else "",
         )
         self._carry_out(self._end.taken(arrived, found.notes))
         if self._settings.probation_ms > 0:
@@ -315,8 +340,10 @@
             self._keep.save(held.number, held.digest, doc.canonical(held.document), self._clock.now_ms())
         except OSError as problem:
             logger.warning(
-                "stream: version {version} is in force but not kept: {problem}", event="version-unkept",
-                version=held.number, problem=problem
+                "stream: version {version} is in force but not kept: {problem}",
+                event="version-unkept",
+                version=held.number,
+                problem=problem,
             )
 
     def _rebase(self, config: Config) -> None:
@@ -330,7 +357,9 @@
             if isinstance(wanted, Offence):
                 logger.error(
                     "stream: the file that was read again does not go with version {version}: {problem}",
-                    event="rebase-refused", version=self._in_force.number, problem=wanted
+                    event="rebase-refused",
+                    version=self._in_force.number,
+                    problem=wanted,
                 )
                 return
             if not self._adopt(wanted.config):  # the proxy stops, but follows its list to the end
@@ -361,8 +390,9 @@
         self._probation = None
         if verdict == "passed":
             logger.info(
-                "stream: version {version} has passed its probation", event="probation-passed",
-                version=self._in_force.number
+                "stream: version {version} has passed its probation",
+                event="probation-passed",
+                version=self._in_force.number,
             )
             return
         self._put_back(verdict)
@@ -373,14 +403,19 @@
         if bad.number is None or isinstance(found, Offence):
             logger.error(
                 "stream: version {version} does harm ({reason}), can't be put back: {problem}",
-                event="put-back-failed", version=bad.number, reason=why, problem=found
+                event="put-back-failed",
+                version=bad.number,
+                reason=why,
+                problem=found,
             )
             return
         if not self._adopt(found.config):
             return
         logger.warning(
-            "stream: version {version} is put back: {reason}", event="version-put-back",
-            version=bad.number, reason=why
+            "stream: version {version} is put back: {reason}",
+            event="version-put-back",
+            version=bad.number,
+            reason=why,
         )
         self._in_force, self._before = before, InForce()
         self._save()
--- a/capershelf/stream/keep.py
+++ b/capershelf/stream/keep.py
@@ -65,7 +65,14 @@
 
     def save(self, number: Number, digest: str, document: bytes, now_ms: float) -> None:
         """OSError leaves the one before."""
-        kept = Kept(proxy=self._proxy, generation=self._generation + 1, epoch=number.epoch,
-                    version=number.version, digest=digest, saved_ms=now_ms, document=document)
+        kept = Kept(
+            proxy=self._proxy,
+            generation=self._generation + 1,
+            epoch=number.epoch,
+            version=number.version,
+            digest=digest,
+            saved_ms=now_ms,
+            document=document,
+        )
         self._files.write(kept.generation, frame(MAGIC, FORMAT, msgspec.msgpack.encode(kept), None))
         self._generation = kept.generation
--- a/capershelf/stream/ledger.py
+++ b/capershelf/stream/ledger.py
@@ -74,8 +74,9 @@
         """It is not taken, now or later."""
         self._note(number, digest, code, text)
 
-    def put_back(self, number: Number, digest: str, before: Number | None, before_digest: str,
-                 text: str) -> None:
+    def put_back(
+        self, number: Number, digest: str, before: Number | None, before_digest: str, text: str
+    ) -> None:
         """It was in force and did harm: the one before is in force again, and it is not taken once more."""
         self.good, self.digest = before, before_digest
         self._note(number, digest, "put-back", text)
--- a/capershelf/stream/probation.py
+++ b/capershelf/stream/probation.py
@@ -59,6 +59,8 @@
         if given >= self.terms.least:
             share = refused / given
             if share - self._before > self.terms.margin:
-                return (f"{100 * share:.0f}% of {given} calls refused or failed since, "
-                        f"{100 * self._before:.0f}% before")
+                return (
+                    f"{100 * share:.0f}% of {given} calls refused or failed since, "
+                    f"{100 * self._before:.0f}% before"
+                )
         return "passed" if now_ms - self.began_ms >= self.terms.time_ms else ""
--- a/capershelf/stream/protocol.py
+++ b/capershelf/stream/protocol.py
@@ -147,11 +147,19 @@
         """A new connection: what to say first."""
         self.service, self._welcomed, self.awaited = service, False, None
         self._whole_only.clear()
-        hello: Message = {"type": "hello", "speaks": [SPEAKS], "proxy": self.proxy, "release": self.release,
-                          "can": ["whole", "delta"]}
+        hello: Message = {
+            "type": "hello",
+            "speaks": [SPEAKS],
+            "proxy": self.proxy,
+            "release": self.release,
+            "can": ["whole", "delta"],
+        }
         if self.ledger.good is not None:
-            hello |= {"epoch": self.ledger.good.epoch, "version": self.ledger.good.version,
-                      "digest": self.ledger.digest}
+            hello |= {
+                "epoch": self.ledger.good.epoch,
+                "version": self.ledger.good.version,
+                "digest": self.ledger.digest,
+            }
         return [Say(hello)]
 
     def receive(self, message: Message, now_ms: float) -> list[Step]:
@@ -182,8 +190,9 @@
             return [Say(self._ack(number, whole, ()))]
         if not verdict.fetch:
             return self._refuse(number, whole, verdict.code, "", verdict.text, remember=False)
-        signature = Signature(_text(message, "key", ""), float(_count(message, "expires")),
-                              _text(message, "signature", ""))
+        signature = Signature(
+            _text(message, "key", ""), float(_count(message, "expires")), _text(message, "signature", "")
+        )
         if self.ring is not None:
             code, text = self.ring.fault(number, whole, signature, now_ms)
             if code:  # not remembered: the same text may come again with another signature
@@ -216,8 +225,14 @@
 
     @staticmethod
     def _want(number: Number, begin: int, most: int = WINDOW, whole: bool = False) -> Message:
-        return {"type": "want", "epoch": number.epoch, "version": number.version, "from": begin, "most": most,
-                "whole": whole}
+        return {
+            "type": "want",
+            "epoch": number.epoch,
+            "version": number.version,
+            "from": begin,
+            "most": most,
+            "whole": whole,
+        }
 
     def _part(self, message: Message) -> list[Step]:
         fetch, place = self.fetch, _count(message, "number")
@@ -275,8 +290,9 @@
         """It breaks a rule; the last good version stays."""
         return self._answer(arrived, self._refuse(arrived.number, arrived.digest, code, path, text))
 
-    def put_back(self, bad: Number, before: Number | None, base: dict[str, Any] | None, digest: str,
-                 text: str) -> list[Step]:
+    def put_back(
+        self, bad: Number, before: Number | None, base: dict[str, Any] | None, digest: str, text: str
+    ) -> list[Step]:
         """The version in force did harm; the one before is in force again."""
         self.ledger.put_back(bad, self.ledger.digest, before, digest, text)
         self.base = base
@@ -290,18 +306,32 @@
         return steps
 
     def _ack(self, number: Number, digest: str, notes: tuple[str, ...]) -> Message:
-        return {"type": "ack", "epoch": number.epoch, "version": number.version, "digest": digest,
-                "notes": list(notes)[:64]}
+        return {
+            "type": "ack",
+            "epoch": number.epoch,
+            "version": number.version,
+            "digest": digest,
+            "notes": list(notes)[:64],
+        }
 
     def _refuse(
         self, number: Number, digest: str, code: str, path: str, text: str, remember: bool = True
     ) -> list[Step]:
         if remember:
             self.ledger.refused(number, digest, code, text)
-        return [Refusing(number, code, f"{path}: {text}" if path else text), Say({
-            "type": "refuse", "epoch": number.epoch, "version": number.version, "code": code, "path": path,
-            "text": text[:500],
-        })]
+        return [
+            Refusing(number, code, f"{path}: {text}" if path else text),
+            Say(
+                {
+                    "type": "refuse",
+                    "epoch": number.epoch,
+                    "version": number.version,
+                    "code": code,
+                    "path": path,
+                    "text": text[:500],
+                }
+            ),
+        ]
 
 
 # -- the service's end --------------------------------------------------------------------------------
@@ -379,8 +409,16 @@
                     notes = tuple(str(note) for note in message.get("notes") or ())
                     return [Told("ack", self.proxy, self.good, notes=notes)]
                 case "refuse" | "back":
-                    return [Told(kind, self.proxy, _number(message), _text(message, "code", ""),
-                                 _text(message, "path", ""), _text(message, "text", ""))]
+                    return [
+                        Told(
+                            kind,
+                            self.proxy,
+                            _number(message),
+                            _text(message, "code", ""),
+                            _text(message, "path", ""),
+                            _text(message, "text", ""),
+                        )
+                    ]
             raise NonsenseError(f"{kind!r} is not known")
         except NonsenseError as problem:
             return [Hang(str(problem))]
@@ -405,13 +443,24 @@
         form = "whole" if data is None else "delta"
         self._offered, self._data = published, published.data if data is None else data
         number, signature = published.number, published.signature
-        return [Say({
-            "type": "offer", "epoch": number.epoch, "version": number.version, "form": form,
-            "base": "" if data is None else self.digest, "length": len(self._data),
-            "digest": doc.digest(self._data), "whole": published.digest,
-            "parts": math.ceil(len(self._data) / PART_BYTES), "key": signature.key,
-            "expires": int(signature.expires_ms), "signature": signature.value,
-        })]
+        return [
+            Say(
+                {
+                    "type": "offer",
+                    "epoch": number.epoch,
+                    "version": number.version,
+                    "form": form,
+                    "base": "" if data is None else self.digest,
+                    "length": len(self._data),
+                    "digest": doc.digest(self._data),
+                    "whole": published.digest,
+                    "parts": math.ceil(len(self._data) / PART_BYTES),
+                    "key": signature.key,
+                    "expires": int(signature.expires_ms),
+                    "signature": signature.value,
+                }
+            )
+        ]
 
     def _parts(self, message: Message) -> list[Step]:
         number, begin = _number(message), _count(message, "from")
@@ -421,7 +470,17 @@
         if message.get("whole") is True and self._data is not self._offered.data:
             return self.offer(self._offered, whole=True)
         return [
-            Say({"type": "part", "epoch": number.epoch, "version": number.version, "number": place,
-                 "data": base64.b64encode(self._data[place * PART_BYTES:(place + 1) * PART_BYTES]).decode()})
-            for place in range(begin, begin + most) if place * PART_BYTES < len(self._data)
+            Say(
+                {
+                    "type": "part",
+                    "epoch": number.epoch,
+                    "version": number.version,
+                    "number": place,
+                    "data": base64.b64encode(
+                        self._data[place * PART_BYTES : (place + 1) * PART_BYTES]
+                    ).decode(),
+                }
+            )
+            for place in range(begin, begin + most)
+            if place * PART_BYTES < len(self._data)
         ]
--- a/capershelf/stream/service.py
+++ b/capershelf/stream/service.py
@@ -103,7 +103,12 @@
     """Serves a folder until told to end."""
 
     def __init__(
-        self, folder: Path, listen: str, clock: Clock, plan: Plan, websocket: bool = False,
+        self,
+        folder: Path,
+        listen: str,
+        clock: Clock,
+        plan: Plan,
+        websocket: bool = False,
         identity: Identity | None = None,
     ) -> None:
         self.inbox: Inbox[Came | Line | Gone | End] = Inbox(clock)
@@ -198,8 +203,14 @@
             self.inbox.put(Line(number, data))
 
         connection = Connection(
-            sock, framing, message, lambda: self.inbox.put(Gone(number)), name, self._clock,
-            heard[0] + HANDSHAKE_MS, due=lambda half_ms: heard[0] + SILENT_MS,
+            sock,
+            framing,
+            message,
+            lambda: self.inbox.put(Gone(number)),
+            name,
+            self._clock,
+            heard[0] + HANDSHAKE_MS,
+            due=lambda half_ms: heard[0] + SILENT_MS,
         )
         self._peers[number] = Peer(connection, protocol.ServiceEnd(self._shelf), heard[0])
         connection.start()
@@ -218,8 +229,10 @@
                     peer.connection.post(protocol.encode(message))
                 case protocol.Hang(reason):
                     logger.warning(
-                        "control: {proxy} hung up on: {reason}", event="control-hung-up",
-                        proxy=peer.end.proxy or "a proxy", reason=reason
+                        "control: {proxy} hung up on: {reason}",
+                        event="control-hung-up",
+                        proxy=peer.end.proxy or "a proxy",
+                        reason=reason,
                     )
                     peer.connection.close()
                 case protocol.Told():
@@ -245,8 +258,10 @@
             if known is None or known.number != number:
                 self._rollout = Rollout(number, self._plan)
             logger.info(
-                "control: version {version} goes out, {bytes} bytes", event="rollout-begins",
-                version=number, bytes=len(found.data)
+                "control: version {version} goes out, {bytes} bytes",
+                event="rollout-begins",
+                version=number,
+                bytes=len(found.data),
             )
 
     def _look_at_signature(self) -> None:
@@ -280,8 +295,10 @@
         while self._rollout.advance(set(self.fleet.proxies), connected, now_ms):
             self._changed = True
             logger.info(
-                "control: version {version}: {state}", event="rollout-stage", version=self._rollout.number,
-                state=self._rollout.state
+                "control: version {version}: {state}",
+                event="rollout-stage",
+                version=self._rollout.number,
+                state=self._rollout.state,
             )
         chosen = self._rollout.chosen(set(self.fleet.proxies))
         for peer in self._peers.values():
@@ -317,12 +334,26 @@
             if newest and self._rollout is not None:
                 self._rollout.ack(told.proxy, now_ms)
         else:
-            self.fleet.note(told.proxy, now_ms, **{told.kind: {
-                "version": number, "code": told.code or "put-back", "path": told.path, "text": told.text,
-            }})
+            self.fleet.note(
+                told.proxy,
+                now_ms,
+                **{
+                    told.kind: {
+                        "version": number,
+                        "code": told.code or "put-back",
+                        "path": told.path,
+                        "text": told.text,
+                    }
+                },
+            )
             logger.warning(
-                "control: {proxy} says {kind} of {version}: {path} {reason}", event="proxy-refuses",
-                proxy=told.proxy, kind=told.kind, version=number, path=told.path, reason=told.text
+                "control: {proxy} says {kind} of {version}: {path} {reason}",
+                event="proxy-refuses",
+                proxy=told.proxy,
+                kind=told.kind,
+                version=number,
+                path=told.path,
+                reason=told.text,
             )
             if newest and self._rollout is not None:
                 self._rollout.refuse(told.proxy, told.code or "put-back", told.text)
@@ -343,18 +374,30 @@
         except (OSError, ValueError, KeyError, TypeError, AttributeError) as problem:
             logger.warning(
                 "control: {file} can't be read, the fleet is learned anew: {problem!r}",
-                event="control-state-spoilt", file=STATE, problem=problem
+                event="control-state-spoilt",
+                file=STATE,
+                problem=problem,
             )
 
     def _write_state(self) -> None:
         rollout = self._rollout
-        text = json.dumps({
-            "proxies": self.fleet.proxies,
-            "rollout": None if rollout is None else {
-                "epoch": rollout.number.epoch, "version": rollout.number.version, "stage": rollout.stage,
-                "halted": rollout.halted, "acked": rollout.acked, "state": rollout.state,
+        text = json.dumps(
+            {
+                "proxies": self.fleet.proxies,
+                "rollout": None
+                if rollout is None
+                else {
+                    "epoch": rollout.number.epoch,
+                    "version": rollout.number.version,
+                    "stage": rollout.stage,
+                    "halted": rollout.halted,
+                    "acked": rollout.acked,
+                    "state": rollout.state,
+                },
             },
-        }, sort_keys=True, indent=1)
+            sort_keys=True,
+            indent=1,
+        )
         if text == self._state:
             self._changed = False
             return
@@ -364,8 +407,10 @@
             self._disk.rename(STATE_NEW, STATE)
         except OSError as problem:
             logger.warning(
-                "control: {file} not written: {problem}", event="control-state-unwritten", file=STATE,
-                problem=problem
+                "control: {file} not written: {problem}",
+                event="control-state-unwritten",
+                file=STATE,
+                problem=problem,
             )
             return
         self._state, self._changed = text, False
--- a/capershelf/stream/standing.py
+++ b/capershelf/stream/standing.py
@@ -56,34 +56,86 @@
 Schema = Mapping[str, "Kind | Schema | list[Schema]"]
 
 SCHEMA: Schema = {
-    "name": TEXT, "listen": TEXT, "seed": ANY, "board": TEXT, "known": ANY, "planners": Kind("number", 1, 4),
+    "name": TEXT,
+    "listen": TEXT,
+    "seed": ANY,
+    "board": TEXT,
+    "known": ANY,
+    "planners": Kind("number", 1, 4),
     "limits": {"sockets": COUNT, "memory_mb": ABOVE, "cores": ABOVE},
     "websocket": {"listen": TEXT},
     "eureka": {"url": TEXT, "app": TEXT, "own-app": TEXT, "fetch": ABOVE, "renew": ABOVE},
-    "memory": ANY, "stream": ANY, "subset": ANY,  # checked where they are read
+    "memory": ANY,
+    "stream": ANY,
+    "subset": ANY,  # checked where they are read
     "settings": {
-        "slot-no": MS, "group-size": COUNT, "period": MS, "tier": ANY, "tiers": LIST, "zone": TEXT,
-        "zones": LIST, "kinds": LIST, "family": TEXT, "weights": TEXT, "counted-by": TEXT,
-        "registry-mode": TEXT, "over-share-worth": PART, "clients": ANY, "costs": ANY, "scoring-mix": ANY,
+        "slot-no": MS,
+        "group-size": COUNT,
+        "period": MS,
+        "tier": ANY,
+        "tiers": LIST,
+        "zone": TEXT,
+        "zones": LIST,
+        "kinds": LIST,
+        "family": TEXT,
+        "weights": TEXT,
+        "counted-by": TEXT,
+        "registry-mode": TEXT,
+        "over-share-worth": PART,
+        "clients": ANY,
+        "costs": ANY,
+        "scoring-mix": ANY,
         "bounds": {
-            "cancel": FLAG, "connect-timeout": ABOVE, "cpu-us-per-request": MS, "cpu-us-per-s": MS,
-            "idle-close": MS, "max-attempts": COUNT, "max-open": COUNT, "max-retry-after": MS,
-            "may-duplicate": FLAG, "may-probe": FLAG, "multiplex": COUNT, "peers": FLAG, "retry-after": FLAG,
+            "cancel": FLAG,
+            "connect-timeout": ABOVE,
+            "cpu-us-per-request": MS,
+            "cpu-us-per-s": MS,
+            "idle-close": MS,
+            "max-attempts": COUNT,
+            "max-open": COUNT,
+            "max-retry-after": MS,
+            "may-duplicate": FLAG,
+            "may-probe": FLAG,
+            "multiplex": COUNT,
+            "peers": FLAG,
+            "retry-after": FLAG,
         },
         "contract": {
-            "answer-slack": MS, "ask-within": MS, "cold-from": Kind("number", 1e-9, 1.0), "drain-grace": MS,
-            "fall": ABOVE, "ramp-time": ABOVE, "tip-multiple": ABOVE,
+            "answer-slack": MS,
+            "ask-within": MS,
+            "cold-from": Kind("number", 1e-9, 1.0),
+            "drain-grace": MS,
+            "fall": ABOVE,
+            "ramp-time": ABOVE,
+            "tip-multiple": ABOVE,
         },
         "family-info": {
-            "call-length": LIST, "channels-needed": LIST, "far-reports": TEXT, "here": NUMBER,
-            "pools-by-class": LIST, "release": MS, "route-advice": FLAG, "says-wait": FLAG, "t1": MS,
+            "call-length": LIST,
+            "channels-needed": LIST,
+            "far-reports": TEXT,
+            "here": NUMBER,
+            "pools-by-class": LIST,
+            "release": MS,
+            "route-advice": FLAG,
+            "says-wait": FLAG,
+            "t1": MS,
             "topology": TEXT,
         },
         "telemetry": {"fields": LIST, "via": TEXT},
-        "categories": [{
-            "name": TEXT, "aim": ABOVE, "aim-stretch": MS, "deadline": ABOVE, "credit": MS,
-            "late-worth": PART, "dedup-scope": TEXT, "effect": TEXT, "stream": FLAG, "window": MS,
-        }],
+        "categories": [
+            {
+                "name": TEXT,
+                "aim": ABOVE,
+                "aim-stretch": MS,
+                "deadline": ABOVE,
+                "credit": MS,
+                "late-worth": PART,
+                "dedup-scope": TEXT,
+                "effect": TEXT,
+                "stream": FLAG,
+                "window": MS,
+            }
+        ],
         "tenants": [{"name": TEXT, "quota-per-s": MS, "share": PART}],
     },
 }
@@ -150,8 +202,12 @@
     path = "settings.contract."
     if (grace := mine.get("drain-grace", 0.0)) > MOST_GRACE_MS:
         yield Offence("drain-grace", path + "drain-grace", f"{grace:g} ms, at most {MOST_GRACE_MS:g}")
-    for key, code, sign in (("tip-multiple", "fall-multiple", 1), ("fall", "fall-time", 1),
-                            ("ramp-time", "ramp", -1), ("cold-from", "cold-share", 1)):
+    for key, code, sign in (
+        ("tip-multiple", "fall-multiple", 1),
+        ("fall", "fall-time", 1),
+        ("ramp-time", "ramp", -1),
+        ("cold-from", "cold-share", 1),
+    ):
         if key in mine and key in theirs and sign * mine[key] > sign * theirs[key]:
             bound = "at most" if sign > 0 else "at least"
             yield Offence(code, path + key, f"{mine[key]:g}, by the contract {bound} {theirs[key]:g}")
--- a/capershelf/stream/stream.py
+++ b/capershelf/stream/stream.py
@@ -54,8 +54,9 @@
             kept, said = keep.load()
         except (BusyError, NewerError, OSError) as problem:
             logger.warning(
-                "stream: {problem}; no version is read or kept there", event="version-folder-unusable",
-                problem=problem
+                "stream: {problem}; no version is read or kept there",
+                event="version-folder-unusable",
+                problem=problem,
             )
             self._folder.unlock()
             return None
@@ -75,20 +76,31 @@
         except (ValueError, TypeError, KeyError, AttributeError) as problem:
             logger.warning(
                 "stream: version {version} that was kept can't be used: {problem}",
-                event="version-kept-unusable", version=kept.number, problem=problem
+                event="version-kept-unusable",
+                version=kept.number,
+                problem=problem,
             )
             return
         self._started = InForce(kept.number, kept.digest, found)
         logger.info(
-            "stream: starts with version {version}, kept {age_s:.0f} s ago", event="version-kept",
-            version=kept.number, age_s=age_s
+            "stream: starts with version {version}, kept {age_s:.0f} s ago",
+            event="version-kept",
+            version=kept.number,
+            age_s=age_s,
         )
 
     def start(self, host: Host) -> None:
         """Follow the control services from here on."""
         self._follower = Follower(
-            self._settings, self._base, self._started, self._read_ring, self._keep, host, self._clock,
-            VERSION, self._environ,
+            self._settings,
+            self._base,
+            self._started,
+            self._read_ring,
+            self._keep,
+            host,
+            self._clock,
+            VERSION,
+            self._environ,
         )
         # Checking a version is some 10 ms of work beside the planners.  At the usual 5 ms between switches a
         # planner that wakes up meanwhile would wait so long for its turn, and its calls with it.
--- a/capershelf/stream/takeover.py
+++ b/capershelf/stream/takeover.py
@@ -37,8 +37,12 @@
 
 
 def plan(
-    base: Mapping[str, Any], in_force: Mapping[str, Any], document: dict[str, Any],
-    open_classes: Mapping[str, float], strict: bool, environ: Mapping[str, str],
+    base: Mapping[str, Any],
+    in_force: Mapping[str, Any],
+    document: dict[str, Any],
+    open_classes: Mapping[str, float],
+    strict: bool,
+    environ: Mapping[str, str],
 ) -> TakeOver | Offence:
     """base: the proxy's own file; in_force: the table that holds now."""
     if offences := standing.check(document, contract_of(base), open_classes):
--- a/examples/toy_booking_server.py
+++ b/examples/toy_booking_server.py
@@ -1,7 +1,7 @@
 """A toy booking server: answers set-ups, ends calls after a while, and can be made to refuse.
 
-    python examples/toy_booking_server.py --listen 127.0.0.1:7001
-    python examples/toy_booking_server.py --listen 127.0.0.1:7002 --websocket --refuse 0.3
+python examples/toy_booking_server.py --listen 127.0.0.1:7001
+python examples/toy_booking_server.py --listen 127.0.0.1:7002 --websocket --refuse 0.3
 """
 
 from __future__ import annotations
--- a/examples/toy_caller.py
+++ b/examples/toy_caller.py
@@ -1,7 +1,7 @@
 """A toy caller: places calls one after another and prints what it hears.
 
-    python examples/toy_caller.py --connect 127.0.0.1:5060 --calls 3
-    python examples/toy_caller.py --connect 127.0.0.1:5061 --websocket
+python examples/toy_caller.py --connect 127.0.0.1:5060 --calls 3
+python examples/toy_caller.py --connect 127.0.0.1:5061 --websocket
 """
 
 from __future__ import annotations
@@ -33,8 +33,14 @@
     opened: queue.SimpleQueue[bool] = queue.SimpleQueue()
     framing: Framing = WebSocket(endpoint) if websocket else Lines()
     connection = Connection(
-        connect(endpoint, CLOCK, CLOCK.now_ms() + 3000.0), framing, lambda line: heard.put(json.loads(line)),
-        lambda: opened.put(False), "proxy", CLOCK, CLOCK.now_ms() + 3000.0, lambda: opened.put(True),
+        connect(endpoint, CLOCK, CLOCK.now_ms() + 3000.0),
+        framing,
+        lambda line: heard.put(json.loads(line)),
+        lambda: opened.put(False),
+        "proxy",
+        CLOCK,
+        CLOCK.now_ms() + 3000.0,
+        lambda: opened.put(True),
     )
     connection.start()
     if not opened.get():
--- a/lab/__main__.py
+++ b/lab/__main__.py
@@ -28,15 +28,33 @@
 @click.option("--first", default=1, show_default=True, help="The first seed.")
 @click.option("--load", "loads", multiple=True, type=float, default=(0.9, 1.0, 1.1), show_default=True)
 @click.option("--restart", "who", type=click.Choice(["one", "all"]), help="Who restarts; both if left out.")
-@click.option("--memory", "memories", multiple=True, type=click.Choice(["fresh", "hour", "day"]),
-              default=("fresh", "hour", "day"), show_default=True)
-@click.option("--world", "worlds", multiple=True, type=click.Choice(list(restart.WORLDS)),
-              default=tuple(restart.WORLDS), show_default=True)
+@click.option(
+    "--memory",
+    "memories",
+    multiple=True,
+    type=click.Choice(["fresh", "hour", "day"]),
+    default=("fresh", "hour", "day"),
+    show_default=True,
+)
+@click.option(
+    "--world",
+    "worlds",
+    multiple=True,
+    type=click.Choice(list(restart.WORLDS)),
+    default=tuple(restart.WORLDS),
+    show_default=True,
+)
 @click.option("--workers", default=max(1, (os.cpu_count() or 2) - 2), show_default=True)
 @click.option("--json", "as_json", is_flag=True, help="The result as one JSON object on the last line.")
 def restart_command(
-    seeds: int, first: int, loads: tuple[float, ...], who: str | None, memories: tuple[str, ...],
-    worlds: tuple[str, ...], workers: int, as_json: bool,
+    seeds: int,
+    first: int,
+    loads: tuple[float, ...],
+    who: str | None,
+    memories: tuple[str, ...],
+    worlds: tuple[str, ...],
+    workers: int,
+    as_json: bool,
 ) -> None:
     """Worth served after a restart, with memory and without."""
     logger.remove()
@@ -45,8 +63,10 @@
     found = restart.experiment(seeds, first, scope, workers)
     rows: Any = found["rows"]
     for row in rows:
-        line = (f"{row['restart']:>4} at {row['load']:.1f}, {row['world']:<13} {row['seconds']:>2.0f} s "
-                f"{row['memory']:<5} {row['worth']:.3f}")
+        line = (
+            f"{row['restart']:>4} at {row['load']:.1f}, {row['world']:<13} {row['seconds']:>2.0f} s "
+            f"{row['memory']:<5} {row['worth']:.3f}"
+        )
         if row["memory"] != "none":
             line += f"  {row['gain']:+.4f} ({row['low']:+.4f} to {row['high']:+.4f})"
         click.echo(line)
@@ -71,12 +91,29 @@
 @main.command("spread")
 @click.option("--proxies", "sizes", multiple=True, type=int, default=(4, 50, 200), show_default=True)
 @click.option("--load", "loads", multiple=True, type=float, default=(0.6, 0.85), show_default=True)
-@click.option("--world", "worlds", multiple=True, type=click.Choice(spread.WORLDS), default=("quiet",),
-              show_default=True)
-@click.option("--form", type=click.Choice(spread.FORMS), default="even", show_default=True,
-              help="planned: lines and processors of other sizes than the traffic, states told unasked.")
-@click.option("--who", "whos", multiple=True, default=("module", *spread.ROUTERS), show_default=True,
-              help="module, module@COMMIT for the module as it was, or a router that no proxy can be.")
+@click.option(
+    "--world",
+    "worlds",
+    multiple=True,
+    type=click.Choice(spread.WORLDS),
+    default=("quiet",),
+    show_default=True,
+)
+@click.option(
+    "--form",
+    type=click.Choice(spread.FORMS),
+    default="even",
+    show_default=True,
+    help="planned: lines and processors of other sizes than the traffic, states told unasked.",
+)
+@click.option(
+    "--who",
+    "whos",
+    multiple=True,
+    default=("module", *spread.ROUTERS),
+    show_default=True,
+    help="module, module@COMMIT for the module as it was, or a router that no proxy can be.",
+)
 @click.option("--seeds", default=3, show_default=True)
 @click.option("--first", default=1, show_default=True, help="The first seed.")
 @click.option("--servers", default=24, show_default=True)
@@ -84,26 +121,43 @@
 @click.option("--workers", default=max(1, (os.cpu_count() or 2) - 2), show_default=True)
 @click.option("--json", "as_json", is_flag=True, help="The result as one JSON object on the last line.")
 def spread_command(
-    sizes: tuple[int, ...], loads: tuple[float, ...], worlds: tuple[str, ...], form: str,
-    whos: tuple[str, ...], seeds: int, first: int, servers: int, seconds: float, workers: int, as_json: bool,
+    sizes: tuple[int, ...],
+    loads: tuple[float, ...],
+    worlds: tuple[str, ...],
+    form: str,
+    whos: tuple[str, ...],
+    seeds: int,
+    first: int,
+    servers: int,
+    seconds: float,
+    workers: int,
+    as_json: bool,
 ) -> None:
     """How evenly proxies that see little load the booking servers, and what kept them where they did not."""
     logger.remove()
     for who in whos:
         if who != "module" and who not in spread.ROUTERS and not who.startswith("module@"):
             raise click.BadParameter(f"{who}: module, module@COMMIT, {', '.join(spread.ROUTERS)}")
-    found = spread.experiment([
-        spread.Arm(size, load, world, who, seed, servers, seconds, form)
-        for size in sizes for load in loads for world in worlds for who in whos
-        for seed in range(first, first + seeds)
-    ], workers)
+    found = spread.experiment(
+        [
+            spread.Arm(size, load, world, who, seed, servers, seconds, form)
+            for size in sizes
+            for load in loads
+            for world in worlds
+            for who in whos
+            for seed in range(first, first + seeds)
+        ],
+        workers,
+    )
     for row in found["rows"]:
         beliefs = ", ".join(f"{name} {count}" for name, count in row["beliefs"].items())
-        click.echo(f"{row['proxies']:>4} proxies at {row['load']:.2f}, {row['world']:<8} {row['who']:<14} "
-                   f"{row['service']:.3f} ({row['low']:.3f} to {row['high']:.3f}), worst 10 s "
-                   f"{row['worst']:.3f}; refused {row['refused']:.3f}, "
-                   f"of that while able {row['while_able']:.3f}, "
-                   f"late {row['late']:.3f}{'; ' + beliefs if beliefs else ''}")
+        click.echo(
+            f"{row['proxies']:>4} proxies at {row['load']:.2f}, {row['world']:<8} {row['who']:<14} "
+            f"{row['service']:.3f} ({row['low']:.3f} to {row['high']:.3f}), worst 10 s "
+            f"{row['worst']:.3f}; refused {row['refused']:.3f}, "
+            f"of that while able {row['while_able']:.3f}, "
+            f"late {row['late']:.3f}{'; ' + beliefs if beliefs else ''}"
+        )
     if as_json:
         click.echo(json.dumps(found))
 
@@ -126,8 +180,12 @@
 @click.option("--pairs", default=5, show_default=True)
 @click.option("--seconds", default=10.0, show_default=True, help="For each run.")
 @click.option("--rate", default=200.0, show_default=True, help="Calls a second.")
-@click.option("--switch", default=0.5, show_default=True,
-              help="Milliseconds between switches of threads, as the stream sets them; 0: the usual 5.")
+@click.option(
+    "--switch",
+    default=0.5,
+    show_default=True,
+    help="Milliseconds between switches of threads, as the stream sets them; 0: the usual 5.",
+)
 @click.option("--json", "as_json", is_flag=True, help="The result as one JSON object on the last line.")
 def takeover_command(pairs: int, seconds: float, rate: float, switch: float, as_json: bool) -> None:
     """What a version each second costs the calls, on loopback."""
@@ -151,8 +209,14 @@
 
 
 @main.command("capacity")
-@click.option("--role", "roles", multiple=True, type=click.Choice(list(capacity.ROLES)),
-              default=tuple(capacity.ROLES), help="These roles only.  [default: all]")
+@click.option(
+    "--role",
+    "roles",
+    multiple=True,
+    type=click.Choice(list(capacity.ROLES)),
+    default=tuple(capacity.ROLES),
+    help="These roles only.  [default: all]",
+)
 @click.option("--quick", is_flag=True, help="Small sizes, under two minutes.")
 @click.option("--record", is_flag=True, help="Keep what these roles gave in docs/capacity.json.")
 @click.option("--page", is_flag=True, help="Measure nothing: write docs/CAPACITY.md from docs/capacity.json.")
@@ -165,7 +229,8 @@
     try:
         if page:
             capacity_page.PAGE.write_text(
-                capacity_page.render(capacity_page.PAGE.read_text(), capacity_page.read_record()))
+                capacity_page.render(capacity_page.PAGE.read_text(), capacity_page.read_record())
+            )
             return
         found = capacity.run(roles, quick, lambda line: click.echo(line, err=True))
     except (OSError, ValueError, HollowPeerError) as problem:
@@ -191,8 +256,17 @@
 @click.option("--logs", type=click.Path(file_okay=False), help="Folder to keep the processes' logs in.")
 @click.option("--json", "as_json", is_flag=True, help="Each day as one JSON object on a line.")
 def fleet_command(
-    days: tuple[str, ...], seeds: tuple[int, ...], proxies: int, servers: int, spares: int, zones: int,
-    seconds: float, load: float, per_server: float, logs: str | None, as_json: bool,
+    days: tuple[str, ...],
+    seeds: tuple[int, ...],
+    proxies: int,
+    servers: int,
+    spares: int,
+    zones: int,
+    seconds: float,
+    load: float,
+    per_server: float,
+    logs: str | None,
+    as_json: bool,
 ) -> None:
     """Days of several processes with faults between them; fails where a rule is broken.
 
--- a/lab/fleet/board.py
+++ b/lab/fleet/board.py
@@ -64,8 +64,15 @@
 
     def _event(self, number: int, servers: list[BookingServer], whole: bool) -> dict[str, Any]:
         targets = [
-            {"uid": server.uid, "endpoint": server.ways[self.proxy].address, "az": f"z{server.zone}",
-             "model": "std", "pod_group": server.place, "state": server.state, "boot_ms": server.boot_ms}
+            {
+                "uid": server.uid,
+                "endpoint": server.ways[self.proxy].address,
+                "az": f"z{server.zone}",
+                "model": "std",
+                "pod_group": server.place,
+                "state": server.state,
+                "boot_ms": server.boot_ms,
+            }
             for server in servers
         ]
         return {"rev": number, "pool": {"rev": number, "all": whole, "targets": targets}}
@@ -104,8 +111,12 @@
                 self._waiting.append((wire, after, by_ms))
                 continue
             body = json.dumps({"rev": len(self._events), "notices": self._events[after:]}).encode()
-            wire.write(b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: "
-                       + str(len(body)).encode() + b"\r\n\r\n" + body)
+            wire.write(
+                b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: "
+                + str(len(body)).encode()
+                + b"\r\n\r\n"
+                + body
+            )
 
     def told_ms(self, uid: str) -> float:
         return self._told[uid].at_ms if uid in self._told else math.inf
--- a/lab/fleet/callers.py
+++ b/lab/fleet/callers.py
@@ -37,7 +37,12 @@
     """All callers of one proxy."""
 
     def __init__(
-        self, stage: Stage, seen: Seen, proxy: int, address: tuple[str, int], deadlines: tuple[float, ...],
+        self,
+        stage: Stage,
+        seen: Seen,
+        proxy: int,
+        address: tuple[str, int],
+        deadlines: tuple[float, ...],
         rng: random.Random,
     ) -> None:
         self.stage, self.seen, self.proxy, self.address = stage, seen, proxy, address
@@ -102,16 +107,26 @@
         if line is None:
             return False
         kind = CLASSES[arrival.kind]
-        asked = Asked(f"{self._rng.getrandbits(64):016x}", self.proxy, life.number, kind, 0.0,
-                      self._deadlines[arrival.kind])
+        asked = Asked(
+            f"{self._rng.getrandbits(64):016x}",
+            self.proxy,
+            life.number,
+            kind,
+            0.0,
+            self._deadlines[arrival.kind],
+        )
         self._dials.setdefault(arrival.number, 0)
         self._again[asked.call] = arrival
         self._send(line, asked, arrival)
         return True
 
     def _send(self, line: Line, asked: Asked, arrival: Arrival) -> None:
-        fields = {"class": asked.kind, "left": f"{asked.left_ms:.0f}", "key": arrival.number,
-                  "extras": f"dest:{arrival.place};width:1;via:-1"}
+        fields = {
+            "class": asked.kind,
+            "left": f"{asked.left_ms:.0f}",
+            "key": arrival.number,
+            "extras": f"dest:{arrival.place};width:1;via:-1",
+        }
         line.calls[asked.call] = asked
         if line.wire.write(line_of("setup", asked.call, fields=fields, sdp=f"asked for {asked.call}\r\n")):
             asked.asked_ms = line.used_ms = self.stage.now_ms
@@ -131,8 +146,10 @@
         except OSError:
             sock.close()
             return None
-        line = Line(Wire(self.stage, sock, lambda data, first_ms: self._heard(line, data),
-                         lambda: self._ended(line)), used_ms=self.stage.now_ms)
+        line = Line(
+            Wire(self.stage, sock, lambda data, first_ms: self._heard(line, data), lambda: self._ended(line)),
+            used_ms=self.stage.now_ms,
+        )
         self._lines.append(line)
         self._idle(line)
         return line
@@ -221,6 +238,7 @@
     def next_one(*_: Any) -> None:
         arrival = next(coming, None)
         if arrival is not None:
+
             def come() -> None:
                 first = pick(arrival.chance)
                 any(fronts[(first + n) % len(fronts)].arrive(arrival) for n in range(len(fronts)))
--- a/lab/fleet/checker.py
+++ b/lab/fleet/checker.py
@@ -54,7 +54,8 @@
         attempts.sort(key=lambda one: one.whole_ms)
     asked = {one.call: one for one in seen.asked}
     return [
-        *_lives(seen), *(Broken("foul", "", text) for text in seen.foul),
+        *_lives(seen),
+        *(Broken("foul", "", text) for text in seen.foul),
         *_outcomes(seen, by_call, lives, slack_ms),
         *_attempts(seen, by_call, asked, contract, slack_ms),
         *_drains(seen, contract, slack_ms),
@@ -71,8 +72,9 @@
         if life.ready_ms == math.inf and min(life.term_ms, life.killed_ms) == math.inf:
             found.append(Broken("crash", "", f"{name} never became ready"))
         ended_alone = life.ended_ms < math.inf and life.term_ms == life.killed_ms == math.inf
-        if ended_alone or (life.term_ms < math.inf and life.status not in (0, None) and
-                           life.killed_ms == math.inf):
+        if ended_alone or (
+            life.term_ms < math.inf and life.status not in (0, None) and life.killed_ms == math.inf
+        ):
             found.append(Broken("crash", "", f"{name} ended with status {life.status}"))
     return found
 
@@ -81,12 +83,16 @@
     """Whether nobody can be held to an outcome of it: the proxy was killed, or stood still at its time."""
     if life.killed_ms <= one.by_ms + slack_ms and life.killed_ms <= one.told_ms:
         # What SIGKILL finds unanswered is excused where it came without SIGTERM, or with it in good time.
-        return life.term_ms == math.inf or one.asked_ms > life.term_ms + DOOR_MS or (
-            life.killed_ms < life.term_ms + KILL_MS)
+        return (
+            life.term_ms == math.inf
+            or one.asked_ms > life.term_ms + DOOR_MS
+            or (life.killed_ms < life.term_ms + KILL_MS)
+        )
     if one.asked_ms > life.term_ms + DOOR_MS:
         return True
-    return any(stopped <= one.by_ms and one.by_ms <= went_on + slack_ms + 250.0
-               for stopped, went_on in life.stalls)
+    return any(
+        stopped <= one.by_ms and one.by_ms <= went_on + slack_ms + 250.0 for stopped, went_on in life.stalls
+    )
 
 
 def _outcomes(
@@ -114,14 +120,19 @@
     """Whether the proxy may have given the one up before the other, and its word was still on its way; or the
     other, heard late, was the earlier one."""
     return any(
-        one.proxy == before.proxy and one.server in (before.server, after.server)
-        and one.from_ms < after.whole_ms and one.to_ms > min(before.first_ms, after.first_ms)
+        one.proxy == before.proxy
+        and one.server in (before.server, after.server)
+        and one.from_ms < after.whole_ms
+        and one.to_ms > min(before.first_ms, after.first_ms)
         for one in seen.unheard
     )
 
 
 def _attempts(
-    seen: Seen, by_call: dict[str, list[Attempt]], asked: dict[str, Asked], contract: Contract,
+    seen: Seen,
+    by_call: dict[str, list[Attempt]],
+    asked: dict[str, Asked],
+    contract: Contract,
     slack_ms: float,
 ) -> list[Broken]:
     """Rules 2, 5 and the bound: one attempt at a time, the release awaited, six at most."""
@@ -138,9 +149,14 @@
                 continue
             grace_ms = slack_ms if before.end.may_have_run else 0.0
             if after.whole_ms < before.end_ms - grace_ms:
-                found.append(Broken(
-                    "two attempts", call, f"at {after.server} while out at {before.server}, which ended "
-                    f"{before.end_ms - after.whole_ms:.0f} ms later ({before.end.value})"))
+                found.append(
+                    Broken(
+                        "two attempts",
+                        call,
+                        f"at {after.server} while out at {before.server}, which ended "
+                        f"{before.end_ms - after.whole_ms:.0f} ms later ({before.end.value})",
+                    )
+                )
             elif before.end is End.GIVEN_UP and (
                 after.first_ms < before.end_ms + contract.release_ms - slack_ms
             ):
@@ -164,8 +180,13 @@
         for one in told.get((attempt.proxy, attempt.life, attempt.server), ()):
             if one.at_ms + contract.drain_grace_ms + slack_ms < attempt.first_ms < one.back_ms:
                 late_ms = attempt.first_ms - one.at_ms
-                found.append(Broken("drain", attempt.call, f"to {attempt.server} by proxy {attempt.proxy} "
-                                    f"{late_ms:.0f} ms after it was told"))
+                found.append(
+                    Broken(
+                        "drain",
+                        attempt.call,
+                        f"to {attempt.server} by proxy {attempt.proxy} {late_ms:.0f} ms after it was told",
+                    )
+                )
     return found
 
 
@@ -173,8 +194,11 @@
     """Rule 4: all proxies together keep a cold booking server's budget, in every window."""
     found = []
     for cold in seen.colds:
-        sent = sorted(a.first_ms for a in seen.attempts if a.server == cold.server
-                      and cold.started_ms <= a.first_ms < cold.started_ms + contract.ramp_ms)
+        sent = sorted(
+            a.first_ms
+            for a in seen.attempts
+            if a.server == cold.server and cold.started_ms <= a.first_ms < cold.started_ms + contract.ramp_ms
+        )
         began = 0
         for count, at_ms in enumerate(sent, 1):
             while sent[began] <= at_ms - contract.fall_ms:
@@ -190,8 +214,12 @@
 
 
 def _ends(
-    seen: Seen, by_call: dict[str, list[Attempt]], asked: dict[str, Asked],
-    lives: dict[tuple[int, int], Life], contract: Contract, slack_ms: float,
+    seen: Seen,
+    by_call: dict[str, list[Attempt]],
+    asked: dict[str, Asked],
+    lives: dict[tuple[int, int], Life],
+    contract: Contract,
+    slack_ms: float,
 ) -> list[Broken]:
     """What stood and is over is told its caller; what stands for nobody is released."""
     found = []
--- a/lab/fleet/day.py
+++ b/lab/fleet/day.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import math
 import os
 import random
@@ -79,24 +80,34 @@
 
     def as_json(self) -> dict[str, Any]:
         return {
-            "day": self.plan.name, "seed": self.plan.seed, "proxies": self.plan.shape.proxies,
-            "servers": self.plan.shape.servers, "load": self.plan.load, "verdict": self.verdict,
-            "broken": dict(Counter(one.rule for one in self.broken)), "served": round(self.served, 4),
+            "day": self.plan.name,
+            "seed": self.plan.seed,
+            "proxies": self.plan.shape.proxies,
+            "servers": self.plan.shape.servers,
+            "load": self.plan.load,
+            "verdict": self.verdict,
+            "broken": dict(Counter(one.rule for one in self.broken)),
+            "served": round(self.served, 4),
             "by_class": {name: round(value, 4) for name, value in self.by_class.items()},
-            "tries": self.tries, "outcomes": dict(self.outcomes), "attempts": round(self.attempts, 4),
-            "connections": self.seen.connections, "late_ms": round(self.seen.late_ms, 1),
-            "ready_s": round(self.ready_s, 2), "busy": round(self.seen.busy, 2),
+            "tries": self.tries,
+            "outcomes": dict(self.outcomes),
+            "attempts": round(self.attempts, 4),
+            "connections": self.seen.connections,
+            "late_ms": round(self.seen.late_ms, 1),
+            "ready_s": round(self.ready_s, 2),
+            "busy": round(self.seen.busy, 2),
         }
 
-
     def text(self) -> str:
         """One line for a person."""
         told = self.as_json()
         outcomes = ", ".join(f"{name} {count}" for name, count in sorted(self.outcomes.items()))
-        return (f"{told['day']:<6} seed {told['seed']}: {self.verdict}; served {self.served:.3f}, "
-                f"{self.tries} tries ({outcomes}), {self.attempts:.2f} attempts a try, "
-                f"{told['connections']} connections, stand-ins {told['late_ms']:.0f} ms late at the most, "
-                f"{100 * self.seen.busy:.0f}% of the machine")
+        return (
+            f"{told['day']:<6} seed {told['seed']}: {self.verdict}; served {self.served:.3f}, "
+            f"{self.tries} tries ({outcomes}), {self.attempts:.2f} attempts a try, "
+            f"{told['connections']} connections, stand-ins {told['late_ms']:.0f} ms late at the most, "
+            f"{100 * self.seen.busy:.0f}% of the machine"
+        )
 
     def keep_logs(self, folder: str) -> None:
         """The processes' logs, under the day's and the seed's name."""
@@ -115,16 +126,23 @@
         shape, rng = plan.shape, random.Random(f"day {plan.seed}")
         count = shape.servers + shape.spares
         sizes = [plan.spread ** rng.uniform(-0.5, 0.5) for _ in range(count)]
-        scale = plan.per_s * shape.servers / sum(sizes[:shape.servers])
+        scale = plan.per_s * shape.servers / sum(sizes[: shape.servers])
         self.servers = [
             BookingServer(
-                self.stage, self.seen, uid(n), n if n < shape.servers else n - shape.servers,
-                n % shape.zones, sizes[n] * scale, max(4, int(8.0 * sizes[n] * scale)), CONTRACT,
+                self.stage,
+                self.seen,
+                uid(n),
+                n if n < shape.servers else n - shape.servers,
+                n % shape.zones,
+                sizes[n] * scale,
+                max(4, int(8.0 * sizes[n] * scale)),
+                CONTRACT,
                 random.Random(f"server {plan.seed} {n}"),
-            ) for n in range(count)
+            )
+            for n in range(count)
         ]
         self.listed = set(range(shape.servers))
-        for spare in self.servers[shape.servers:]:
+        for spare in self.servers[shape.servers :]:
             spare.state = "removed"
         self.lives: dict[int, Life] = {}
         self.processes: dict[int, Process] = {}
@@ -134,16 +152,29 @@
             host = f"127.1.{high}.{low + 1}"
             self.addresses.append((host, free_port(host)))
             self.boards.append(Board(self.stage, self.seen, proxy, host))
-            self.fronts.append(Front(
-                self.stage, self.seen, proxy, self.addresses[-1], (CONTRACT.deadline_ms,) * len(CLASSES),
-                random.Random(f"front {plan.seed} {proxy}"),
-            ))
+            self.fronts.append(
+                Front(
+                    self.stage,
+                    self.seen,
+                    proxy,
+                    self.addresses[-1],
+                    (CONTRACT.deadline_ms,) * len(CLASSES),
+                    random.Random(f"front {plan.seed} {proxy}"),
+                )
+            )
             for n, server in enumerate(self.servers):
-                server.way(proxy, f"127.{2 + n % 200}.{high + 8 * (n // 200)}.{low + 1}",
-                           lambda proxy=proxy: self.lives[proxy].number if proxy in self.lives else 0)  # type: ignore[misc]
+                server.way(
+                    proxy,
+                    f"127.{2 + n % 200}.{high + 8 * (n // 200)}.{low + 1}",
+                    functools.partial(self._life_of, proxy),
+                )
         weights = np.array([plan.skew if n % 10 == 0 else 1.0 for n in range(shape.proxies)])
         self.bounds = np.cumsum(weights / weights.sum())
 
+    def _life_of(self, proxy: int) -> int:
+        """The number of the proxy's present life, 0 before its first."""
+        return self.lives[proxy].number if proxy in self.lives else 0
+
     # -- proxies --------------------------------------------------------------------------------------
     def table(self, proxy: int) -> dict[str, Any]:
         """What the platform tells a proxy."""
@@ -152,38 +183,64 @@
         host, port = self.addresses[proxy]
         places = list(range(shape.servers))
         known = self.boards[proxy].begin(
-            life.number, [s for n, s in enumerate(self.servers) if n in self.listed])
-        return {
-            "name": f"n{proxy}", "listen": f"{host}:{port}",
-            "board": self.boards[proxy].address, "known": known,
-            "seed": f"{random.Random(f'{self.plan.seed} {proxy} {life.number}').getrandbits(64):016x}",
-            "limits": {"cores": 1.0, "memory_mb": self.plan.memory_mb, "sockets": self.plan.sockets},
-            "settings": {
-                "slot-no": proxy, "group-size": shape.proxies, "period": 5.0,
-                "bounds": {"cancel": True, "connect-timeout": 300.0, "max-attempts": CONTRACT.max_attempts,
-                           "may-probe": True},
-                "contract": {"answer-slack": 20.0, "cold-from": CONTRACT.cold_from, "fall": CONTRACT.fall_ms,
-                             "drain-grace": CONTRACT.drain_grace_ms, "ramp-time": CONTRACT.ramp_ms,
-                             "tip-multiple": CONTRACT.fall_multiple},
-                "family-info": {"release": CONTRACT.release_ms, "t1": CONTRACT.resend_ms,
-                                "topology": "groups", "channels-needed": [1, 1],
-                                "pools-by-class": [places, places]},
-                "telemetry": {"via": "piggyback", "fields": ["spare", "total"]},
-                "categories": [
-                    {"name": name, "aim": CONTRACT.aim_ms[n], "deadline": CONTRACT.deadline_ms,
-                     "credit": CONTRACT.worth[n], "late-worth": CONTRACT.late_worth[n]}
-                    for n, name in enumerate(CLASSES)
-                ],
-            },
-        } | extra_of(self.plan.name, shape) | self.plan.extra
+            life.number, [s for n, s in enumerate(self.servers) if n in self.listed]
+        )
+        return (
+            {
+                "name": f"n{proxy}",
+                "listen": f"{host}:{port}",
+                "board": self.boards[proxy].address,
+                "known": known,
+                "seed": f"{random.Random(f'{self.plan.seed} {proxy} {life.number}').getrandbits(64):016x}",
+                "limits": {"cores": 1.0, "memory_mb": self.plan.memory_mb, "sockets": self.plan.sockets},
+                "settings": {
+                    "slot-no": proxy,
+                    "group-size": shape.proxies,
+                    "period": 5.0,
+                    "bounds": {
+                        "cancel": True,
+                        "connect-timeout": 300.0,
+                        "max-attempts": CONTRACT.max_attempts,
+                        "may-probe": True,
+                    },
+                    "contract": {
+                        "answer-slack": 20.0,
+                        "cold-from": CONTRACT.cold_from,
+                        "fall": CONTRACT.fall_ms,
+                        "drain-grace": CONTRACT.drain_grace_ms,
+                        "ramp-time": CONTRACT.ramp_ms,
+                        "tip-multiple": CONTRACT.fall_multiple,
+                    },
+                    "family-info": {
+                        "release": CONTRACT.release_ms,
+                        "t1": CONTRACT.resend_ms,
+                        "topology": "groups",
+                        "channels-needed": [1, 1],
+                        "pools-by-class": [places, places],
+                    },
+                    "telemetry": {"via": "piggyback", "fields": ["spare", "total"]},
+                    "categories": [
+                        {
+                            "name": name,
+                            "aim": CONTRACT.aim_ms[n],
+                            "deadline": CONTRACT.deadline_ms,
+                            "credit": CONTRACT.worth[n],
+                            "late-worth": CONTRACT.late_worth[n],
+                        }
+                        for n, name in enumerate(CLASSES)
+                    ],
+                },
+            }
+            | extra_of(self.plan.name, shape)
+            | self.plan.extra
+        )
 
     def start(self, proxy: int) -> None:
         before = self.lives.get(proxy)
         life = Life(proxy, before.number + 1 if before else 1, self.stage.now_ms)
         self.lives[proxy] = life
         self.seen.lives.append(life)
-        self.processes[proxy] = Process(
-            self.folder, f"n{proxy}", self.table(proxy), list(self.plan.options))
+        self.processes[proxy] = Process(self.folder, f"n{proxy}", self.table(proxy), list(self.plan.options))
         self.fronts[proxy].await_life(life)
 
     def look(self) -> None:
@@ -311,9 +368,13 @@
             self._on_stage(self._close_doors)
             self._wait(lambda: not any(front.open_now for front in self.fronts), CONTRACT.deadline_ms + 500.0)
             # What stands comes to its end, and is told, before anything is taken down.
-            self._wait(lambda: all(
-                a.over_ms < math.inf for a in self.seen.asked if a.outcome is Outcome.STANDS
-            ) and all(a.end_ms < math.inf for a in self.seen.attempts), 1000.0 + LONGEST_MS)
+            self._wait(
+                lambda: (
+                    all(a.over_ms < math.inf for a in self.seen.asked if a.outcome is Outcome.STANDS)
+                    and all(a.end_ms < math.inf for a in self.seen.attempts)
+                ),
+                1000.0 + LONGEST_MS,
+            )
             self.seen.ended_ms = self.stage.now_ms
             self.seen.late_ms, self.seen.late_at_ms = self.stage.late_ms, self.stage.late_at_ms
             self._on_stage(self._close)
@@ -324,8 +385,9 @@
                 process.end()
         self.seen.busy = (_used() - used_s) / (time.monotonic() - began_s) / (os.cpu_count() or 1)
         if self.stage.poller.faults:
-            raise RuntimeError(f"{len(self.stage.poller.faults)} faults in the stand-ins:\n"
-                               + self.stage.poller.faults[0])
+            raise RuntimeError(
+                f"{len(self.stage.poller.faults)} faults in the stand-ins:\n" + self.stage.poller.faults[0]
+            )
         return self._report(ready_s, arrivals)
 
     def _begin(self, arrivals: list[world.Arrival]) -> None:
@@ -371,8 +433,13 @@
     def _report(self, ready_s: float, arrivals: list[world.Arrival]) -> Report:
         seen = self.seen
         limits = checker.Contract(
-            CONTRACT.drain_grace_ms, CONTRACT.release_ms, CONTRACT.max_attempts, CONTRACT.cold_from,
-            CONTRACT.ramp_ms, CONTRACT.fall_multiple, CONTRACT.fall_ms,
+            CONTRACT.drain_grace_ms,
+            CONTRACT.release_ms,
+            CONTRACT.max_attempts,
+            CONTRACT.cold_from,
+            CONTRACT.ramp_ms,
+            CONTRACT.fall_multiple,
+            CONTRACT.fall_ms,
         )
         broken = checker.check(seen, limits)
         offered: Counter[str] = Counter()
@@ -388,9 +455,16 @@
         served = sum(by_class[name] * worth[name] for name in by_class) / max(1.0, sum(worth.values()))
         logs = {name.name: name.read_text(errors="replace") for name in sorted(self.folder.glob("*.log"))}
         return Report(
-            self.plan, seen, broken, served, by_class, len(seen.asked),
-            Counter(one.outcome.value for one in seen.asked), len(seen.attempts) / max(1, len(seen.asked)),
-            ready_s, logs,
+            self.plan,
+            seen,
+            broken,
+            served,
+            by_class,
+            len(seen.asked),
+            Counter(one.outcome.value for one in seen.asked),
+            len(seen.attempts) / max(1, len(seen.asked)),
+            ready_s,
+            logs,
         )
 
 
--- a/lab/fleet/processes.py
+++ b/lab/fleet/processes.py
@@ -29,12 +29,20 @@
         config.write_text(json.dumps(table))
         self.log = folder / f"{name}.log"
         environ = {key: value for key, value in os.environ.items() if not key.startswith("NODE_")}
-        environ |= {"NODE_CONFIG": str(config), "NODE_NAME": table["name"], "NODE_LISTEN": table["listen"],
-                    "PYTHONPATH": str(ROOT)}
+        environ |= {
+            "NODE_CONFIG": str(config),
+            "NODE_NAME": table["name"],
+            "NODE_LISTEN": table["listen"],
+            "PYTHONPATH": str(ROOT),
+        }
         with self.log.open("ab") as log:
             self._popen = subprocess.Popen(
-                [sys.executable, "-m", "capershelf", "serve", *options], cwd=folder, env=environ,
-                stdin=subprocess.DEVNULL, stdout=log, stderr=log,
+                [sys.executable, "-m", "capershelf", "serve", *options],
+                cwd=folder,
+                env=environ,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
             )
 
     def signal(self, number: signal.Signals) -> None:
--- a/lab/fleet/script.py
+++ b/lab/fleet/script.py
@@ -58,15 +58,18 @@
     order = list(range(shape.proxies))
     rng.shuffle(order)
     batch = max(1, shape.proxies // 10)
-    batches = [tuple(order[n:n + batch]) for n in range(0, len(order), batch)]
+    batches = [tuple(order[n : n + batch]) for n in range(0, len(order), batch)]
     end_ms = 1000.0 * shape.seconds
     steps = [Step(500.0 + n * 0.6 * end_ms / len(batches), "term", who) for n, who in enumerate(batches)]
     drained = sorted(rng.sample(range(shape.servers), min(shape.servers // 2, shape.spares)))
     for n, server in enumerate(drained):
         at_ms = 1000.0 + n * 0.4 * end_ms / max(1, len(drained))
         new = shape.servers + n
-        steps += [Step(at_ms, "add", servers=(new,)), Step(at_ms + 300.0, "drain", servers=(server,)),
-                  Step(at_ms + 300.0 + 1000.0 * rng.uniform(2.2, 3.0), "die", servers=(server,))]
+        steps += [
+            Step(at_ms, "add", servers=(new,)),
+            Step(at_ms + 300.0, "drain", servers=(server,)),
+            Step(at_ms + 300.0 + 1000.0 * rng.uniform(2.2, 3.0), "die", servers=(server,)),
+        ]
     return steps
 
 
@@ -75,8 +78,12 @@
     bad = tuple(rng.sample(range(shape.servers), max(1, shape.servers // 8)))
     killed = tuple(sorted(rng.sample(range(shape.proxies), math.ceil(0.7 * shape.proxies))))
     at_ms = 300.0 * shape.seconds
-    return [Step(0.5 * at_ms, "fail", servers=bad, value=0.9), Step(at_ms, "kill", killed),
-            Step(at_ms + 700.0, "start", killed), Step(2.6 * at_ms, "fail", servers=bad, value=0.0)]
+    return [
+        Step(0.5 * at_ms, "fail", servers=bad, value=0.9),
+        Step(at_ms, "kill", killed),
+        Step(at_ms + 700.0, "start", killed),
+        Step(2.6 * at_ms, "fail", servers=bad, value=0.0),
+    ]
 
 
 def stall(shape: Shape, rng: random.Random) -> list[Step]:
@@ -84,8 +91,12 @@
     one = rng.randrange(shape.proxies)
     server = rng.randrange(shape.servers)
     at_ms = 200.0 * shape.seconds
-    return [Step(at_ms, "stop", (one,)), Step(at_ms + 200.0, "drain", servers=(server,)),
-            Step(at_ms + 3000.0, "cont", (one,)), Step(at_ms + 5000.0, "die", servers=(server,))]
+    return [
+        Step(at_ms, "stop", (one,)),
+        Step(at_ms + 200.0, "drain", servers=(server,)),
+        Step(at_ms + 3000.0, "cont", (one,)),
+        Step(at_ms + 5000.0, "die", servers=(server,)),
+    ]
 
 
 def late(shape: Shape, rng: random.Random) -> list[Step]:
@@ -93,9 +104,13 @@
     half = tuple(sorted(rng.sample(range(shape.proxies), shape.proxies // 2)))
     server = rng.randrange(shape.servers)
     at_ms = 150.0 * shape.seconds
-    return [Step(at_ms, "hold", half), Step(at_ms + 200.0, "drain", servers=(server,)),
-            Step(at_ms + 600.0, "add", servers=(shape.servers,)),
-            Step(at_ms + 3000.0, "die", servers=(server,)), Step(at_ms + 3500.0, "show", half)]
+    return [
+        Step(at_ms, "hold", half),
+        Step(at_ms + 200.0, "drain", servers=(server,)),
+        Step(at_ms + 600.0, "add", servers=(shape.servers,)),
+        Step(at_ms + 3000.0, "die", servers=(server,)),
+        Step(at_ms + 3500.0, "show", half),
+    ]
 
 
 def zone(shape: Shape, rng: random.Random) -> list[Step]:
@@ -104,11 +119,14 @@
     servers = shape.zone_servers(lost)
     at_ms = 150.0 * shape.seconds
     others = tuple(n for n in range(shape.servers) if n % shape.zones != cut)
-    return [Step(at_ms, "dark", servers=servers), Step(at_ms, "die", servers=servers),
-            Step(at_ms + 0.3e3 * shape.seconds, "back", servers=servers),
-            Step(at_ms + 0.3e3 * shape.seconds, "light", servers=servers),
-            Step(at_ms + 0.45e3 * shape.seconds, "dark", shape.zone_proxies(cut), others),
-            Step(at_ms + 0.6e3 * shape.seconds, "light", shape.zone_proxies(cut), others)]
+    return [
+        Step(at_ms, "dark", servers=servers),
+        Step(at_ms, "die", servers=servers),
+        Step(at_ms + 0.3e3 * shape.seconds, "back", servers=servers),
+        Step(at_ms + 0.3e3 * shape.seconds, "light", servers=servers),
+        Step(at_ms + 0.45e3 * shape.seconds, "dark", shape.zone_proxies(cut), others),
+        Step(at_ms + 0.6e3 * shape.seconds, "light", shape.zone_proxies(cut), others),
+    ]
 
 
 def split(shape: Shape, rng: random.Random) -> list[Step]:
@@ -116,13 +134,18 @@
     one, other = rng.sample(range(shape.servers), 2) if shape.servers > 1 else (0, 0)
     proxies = tuple(sorted(rng.sample(range(shape.proxies), max(1, shape.proxies // 2))))
     at_ms = 150.0 * shape.seconds
-    steps = [Step(at_ms, "delay", proxies, (one,), 300.0), Step(at_ms, "lose", servers=(other,), value=0.2),
-             Step(0.55e3 * shape.seconds, "delay", proxies, (one,), 0.0),
-             Step(0.55e3 * shape.seconds, "lose", servers=(other,)),
-             Step(0.6e3 * shape.seconds, "hang", servers=(one,), value=1.0),
-             Step(0.8e3 * shape.seconds, "hang", servers=(one,))]
-    cuts = [Step(rng.uniform(at_ms, 0.9e3 * shape.seconds), "cut", (rng.randrange(shape.proxies),))
-            for _ in range(2 * shape.proxies)]
+    steps = [
+        Step(at_ms, "delay", proxies, (one,), 300.0),
+        Step(at_ms, "lose", servers=(other,), value=0.2),
+        Step(0.55e3 * shape.seconds, "delay", proxies, (one,), 0.0),
+        Step(0.55e3 * shape.seconds, "lose", servers=(other,)),
+        Step(0.6e3 * shape.seconds, "hang", servers=(one,), value=1.0),
+        Step(0.8e3 * shape.seconds, "hang", servers=(one,)),
+    ]
+    cuts = [
+        Step(rng.uniform(at_ms, 0.9e3 * shape.seconds), "cut", (rng.randrange(shape.proxies),))
+        for _ in range(2 * shape.proxies)
+    ]
     return sorted(steps + cuts, key=lambda step: step.at_ms)
 
 
@@ -132,8 +155,10 @@
     gone = rng.sample(range(shape.servers), min(shape.spares, max(1, int(0.6 * shape.servers))))
     for n, server in enumerate(gone):
         at_ms = 1000.0 * shape.seconds * (0.2 + 0.4 * n / len(gone))
-        steps += [Step(at_ms, "die", servers=(server,)),
-                  Step(at_ms + rng.choice((0.0, 20.0, 300.0)), "over", servers=(server, shape.servers + n))]
+        steps += [
+            Step(at_ms, "die", servers=(server,)),
+            Step(at_ms + rng.choice((0.0, 20.0, 300.0)), "over", servers=(server, shape.servers + n)),
+        ]
     return steps
 
 
@@ -143,9 +168,13 @@
     at_ms = 250.0 * shape.seconds
     old, new = range(shape.servers), range(shape.servers, shape.servers + shape.spares)
     killed = tuple(sorted(rng.sample(range(shape.proxies), math.ceil(0.7 * shape.proxies))))
-    return [Step(at_ms, "add", servers=tuple(new)), Step(at_ms + 300.0, "drain", servers=tuple(old)),
-            Step(at_ms + 1000.0, "kill", killed), Step(at_ms + 1300.0, "start", killed),
-            Step(at_ms + 4000.0, "die", servers=tuple(old))]
+    return [
+        Step(at_ms, "add", servers=tuple(new)),
+        Step(at_ms + 300.0, "drain", servers=tuple(old)),
+        Step(at_ms + 1000.0, "kill", killed),
+        Step(at_ms + 1300.0, "start", killed),
+        Step(at_ms + 4000.0, "die", servers=tuple(old)),
+    ]
 
 
 def subset(shape: Shape, rng: random.Random) -> list[Step]:
@@ -163,12 +192,14 @@
     replaced = rng.sample(range(shape.servers), min(shape.spares, shape.servers // 3))
     for n, server in enumerate(replaced):
         at_ms = (0.4 + 0.3 * n / len(replaced)) * length_ms
-        steps += [Step(at_ms, "add", servers=(shape.servers + n,)),
-                  Step(at_ms + 300.0, "drain", servers=(server,)),
-                  Step(at_ms + 300.0 + 1000.0 * rng.uniform(2.2, 3.0), "die", servers=(server,))]
+        steps += [
+            Step(at_ms, "add", servers=(shape.servers + n,)),
+            Step(at_ms + 300.0, "drain", servers=(server,)),
+            Step(at_ms + 300.0 + 1000.0 * rng.uniform(2.2, 3.0), "die", servers=(server,)),
+        ]
         listed = (listed - {server}) | {shape.servers + n}
     order = fixed_order(one, subset_size(shape), [Candidate(uid(n), f"z{n % shape.zones}") for n in listed])
-    drained = [n for n in sorted(listed) if uid(n) in order[:subset_size(shape)]]
+    drained = [n for n in sorted(listed) if uid(n) in order[: subset_size(shape)]]
     at_ms = 0.85 * length_ms
     return [*steps, *(Step(at_ms + 900.0 * rng.random(), "drain", servers=(n,)) for n in drained)]
 
--- a/lab/fleet/servers.py
+++ b/lab/fleet/servers.py
@@ -37,8 +37,16 @@
     """One booking server: a listener for each proxy, and lab's processor behind them all."""
 
     def __init__(
-        self, stage: Stage, seen: Seen, uid: str, place: int, zone: int, per_s: float, lines: int,
-        contract: world.Contract, rng: random.Random,
+        self,
+        stage: Stage,
+        seen: Seen,
+        uid: str,
+        place: int,
+        zone: int,
+        per_s: float,
+        lines: int,
+        contract: world.Contract,
+        rng: random.Random,
     ) -> None:
         self.stage, self.seen, self.uid, self.place = stage, seen, uid, place
         self.zone, self.per_s = zone, per_s
@@ -179,7 +187,8 @@
             return
         attempt.description = f"made at {self.uid} for {call}, {len(self.seen.attempts)}\r\n"
         setup = world.SetUp(
-            int(call, 16), lambda result, why, report: self._tell(call, result, why, setup),
+            int(call, 16),
+            lambda result, why, report: self._tell(call, result, why, setup),
             lambda report: self._end(call, setup),
         )
         self._held[call] = Held(attempt, setup, passage)
@@ -223,6 +232,7 @@
             del self._held[call]
             fields = {"load": self._load()} | ({"note": NOTES[why]} if why in NOTES else {})
             data = line_of("release", call, cause=cause, fields=fields)
+
         def done(taken: bool) -> None:
             held.heard = taken
 
--- a/lab/fleet/stage.py
+++ b/lab/fleet/stage.py
@@ -82,7 +82,10 @@
     """
 
     def __init__(
-        self, stage: Stage, sock: socket.socket, came: Callable[[bytes, float], None],
+        self,
+        stage: Stage,
+        sock: socket.socket,
+        came: Callable[[bytes, float], None],
         ended: Callable[[], None],
     ) -> None:
         self.stage, self.sock, self._came, self._ended = stage, sock, came, ended
@@ -115,7 +118,7 @@
         self._in += data
         while self.open and (end := self._in.find(b"\n")) >= 0:
             line = bytes(self._in[:end])
-            del self._in[:end + 1]
+            del self._in[: end + 1]
             first_ms, self._first_ms = self._first_ms, now_ms
             self._came(line, first_ms)
 
@@ -160,7 +163,12 @@
     """
 
     def __init__(
-        self, stage: Stage, host: str, proxy: int, chance: Callable[[], float], life_of: Callable[[], int],
+        self,
+        stage: Stage,
+        host: str,
+        proxy: int,
+        chance: Callable[[], float],
+        life_of: Callable[[], int],
         arrived: Callable[[Passage], None],
     ) -> None:
         self.stage, self.proxy, self._chance, self._arrived = stage, proxy, chance, arrived
@@ -323,8 +331,10 @@
             self.wire.write(data)
             if done is not None:
                 done(taken)
-        dues = [*(one[0] for one in itertools.islice(self._in, 1)),
-                *(one[0] for one in itertools.islice(self._out, 1))]
+        dues = [
+            *(one[0] for one in itertools.islice(self._in, 1)),
+            *(one[0] for one in itertools.islice(self._out, 1)),
+        ]
         if dues and not self._armed:
             self._armed = True
             self.stage.poller.at(min(dues), self._due)
--- a/lab/fuzz.py
+++ b/lab/fuzz.py
@@ -21,15 +21,15 @@
     if kind == 0:
         data[place] ^= 1 << int(rng.integers(8))
     elif kind == 1:
-        del data[place:place + int(rng.integers(1, 40))]
+        del data[place : place + int(rng.integers(1, 40))]
     elif kind == 2:
-        data[place:place] = data[place:place + int(rng.integers(1, 40))]
+        data[place:place] = data[place : place + int(rng.integers(1, 40))]
     elif kind == 3:
         data[place:place] = rng.bytes(int(rng.integers(1, 8)))
     elif kind == 4:
         digits = [n for n, byte in enumerate(data) if 48 <= byte <= 57] or [0]
         at = digits[int(rng.integers(len(digits)))]
-        data[at:at + 1] = NUMBERS[int(rng.integers(len(NUMBERS)))]
+        data[at : at + 1] = NUMBERS[int(rng.integers(len(NUMBERS)))]
     else:
         data = data[:place]
     return bytes(data)
--- a/lab/memory_cost.py
+++ b/lab/memory_cost.py
@@ -49,10 +49,15 @@
 
 def keeper_of(servers: int, book: Book | None) -> tuple[Keeper, m.News, list[Snapshot]]:
     handed: list[Snapshot] = []
-    news = m.News(1, True, tuple(
-        m.Located(ListedServer(f"server-{n:06d}", n % 4, Standing.ACTIVE, NOW_MS - 1e6), f"10.0.0.1:{n}")
-        for n in range(servers)
-    ), vouches=True)
+    news = m.News(
+        1,
+        True,
+        tuple(
+            m.Located(ListedServer(f"server-{n:06d}", n % 4, Standing.ACTIVE, NOW_MS - 1e6), f"10.0.0.1:{n}")
+            for n in range(servers)
+        ),
+        vouches=True,
+    )
     terms = Terms(0, 1, 4, HalfLives(), 7 * 86_400_000.0)
     return Keeper(terms, book, handed.append), news, handed
 
@@ -71,8 +76,15 @@
         touched = [f"server-{(number * A_SWEEP + n) % servers:06d}" for n in range(A_SWEEP)]
         touches.append(took_ms(partial(touch_all, keeper, touched)) / A_SWEEP)
         sweeps.append(took_ms(partial(keeper.sweep, door, NOW_MS + 1000.0 * (number + 1), False)))
-    book = Book(release="lab", proxy="p", generation=1, saved_ms=NOW_MS, senders=4, asked_per_s=100.0,
-                servers=merge([handed[-1].servers]))
+    book = Book(
+        release="lab",
+        proxy="p",
+        generation=1,
+        saved_ms=NOW_MS,
+        senders=4,
+        asked_per_s=100.0,
+        servers=merge([handed[-1].servers]),
+    )
     with tempfile.TemporaryDirectory() as folder:
         store = Store(Folder(Path(folder)), "p", None)
         size = store.save(book)
@@ -83,9 +95,13 @@
         again, news, _ = keeper_of(servers, book)
         starts.append(took_ms(partial(again.listed, news, NOW_MS + 1000.0)))
     return {
-        "servers": servers, "touch_ms": round(statistics.median(touches), 5),
+        "servers": servers,
+        "touch_ms": round(statistics.median(touches), 5),
         "snapshot_ms": round(statistics.median(sweeps), 4),
         "snapshot_p99_ms": round(sorted(sweeps)[int(0.99 * ROUNDS)], 4),
-        "everything_ms": round(everything, 2), "bytes": size, "write_ms": round(statistics.median(writes), 2),
-        "read_ms": round(statistics.median(reads), 2), "start_ms": round(statistics.median(starts), 2),
+        "everything_ms": round(everything, 2),
+        "bytes": size,
+        "write_ms": round(statistics.median(writes), 2),
+        "read_ms": round(statistics.median(reads), 2),
+        "start_ms": round(statistics.median(starts), 2),
     }
--- a/lab/proxy.py
+++ b/lab/proxy.py
@@ -25,16 +25,32 @@
 def settings(contract: Contract, number: int, count: int) -> api.Settings:
     """The module's settings for this world."""
     return api.Settings(
-        gateway_no=number, gateway_count=count,
+        gateway_no=number,
+        gateway_count=count,
         classes=tuple(
-            api.CallClass(name, contract.aim_ms[n], contract.deadline_ms, contract.worth[n],
-                          contract.late_worth[n], hold_ms=contract.hold_ms if contract.told_ms > 0 else None)
+            api.CallClass(
+                name,
+                contract.aim_ms[n],
+                contract.deadline_ms,
+                contract.worth[n],
+                contract.late_worth[n],
+                hold_ms=contract.hold_ms if contract.told_ms > 0 else None,
+            )
             for n, name in enumerate(CLASSES)
         ),
-        cold_from=contract.cold_from, ramp_ms=contract.ramp_ms, fall_multiple=contract.fall_multiple,
-        fall_ms=contract.fall_ms, release_ms=contract.release_ms, drain_grace_ms=contract.drain_grace_ms,
-        answer_slack_ms=20.0, tick_ms=5.0, max_attempts=contract.max_attempts, resend_ms=contract.resend_ms,
-        may_cancel=True, may_probe=contract.told_ms > 0, reports=api.Reports.ANSWERS,
+        cold_from=contract.cold_from,
+        ramp_ms=contract.ramp_ms,
+        fall_multiple=contract.fall_multiple,
+        fall_ms=contract.fall_ms,
+        release_ms=contract.release_ms,
+        drain_grace_ms=contract.drain_grace_ms,
+        answer_slack_ms=20.0,
+        tick_ms=5.0,
+        max_attempts=contract.max_attempts,
+        resend_ms=contract.resend_ms,
+        may_cancel=True,
+        may_probe=contract.told_ms > 0,
+        reports=api.Reports.ANSWERS,
     )
 
 
@@ -55,7 +71,13 @@
     """One proxy; down() and up() are its restart."""
 
     def __init__(
-        self, engine: Engine, contract: Contract, rules: Rules, number: int, count: int, seed: int,
+        self,
+        engine: Engine,
+        contract: Contract,
+        rules: Rules,
+        number: int,
+        count: int,
+        seed: int,
         servers: list[Server],
     ) -> None:
         self.engine, self.contract, self.rules = engine, contract, rules
@@ -103,8 +125,13 @@
         if self.handed is None:
             return None
         return Book(
-            release="lab", proxy=f"p{self.number}", generation=1, saved_ms=self.handed.at_ms,
-            senders=self.count, asked_per_s=self.handed.asked_per_s, servers=merge([self.handed.servers]),
+            release="lab",
+            proxy=f"p{self.number}",
+            generation=1,
+            saved_ms=self.handed.at_ms,
+            senders=self.count,
+            asked_per_s=self.handed.asked_per_s,
+            servers=merge([self.handed.servers]),
         )
 
     def _hand_over(self, snapshot: Snapshot) -> None:
@@ -186,9 +213,11 @@
 
         def over(report: api.Report) -> None:
             if life == self.life:
-                self.engine.after(WAY_MS, self.feed, api.AttemptOver(
-                    asked.call, number, server.uid, api.Result.OK, True, report=report
-                ))
+                self.engine.after(
+                    WAY_MS,
+                    self.feed,
+                    api.AttemptOver(asked.call, number, server.uid, api.Result.OK, True, report=report),
+                )
 
         setup = SetUp(asked.call, told, over)
         asked.setup = setup
@@ -204,9 +233,7 @@
         if life == self.life and asked.attempt == number and asked.setup is not None:
             self._end(asked, number, api.Result.TIMEOUT, api.Why.UNSAID, api.Report())
 
-    def _end(
-        self, asked: Asked, number: int, result: api.Result, why: api.Why, report: api.Report
-    ) -> None:
+    def _end(self, asked: Asked, number: int, result: api.Result, why: api.Why, report: api.Report) -> None:
         setup, server = asked.setup, asked.server
         if setup is None or server is None:
             return
@@ -215,5 +242,3 @@
             server.give_up(setup)
         self.rules.ended(asked.call, self.engine.now_ms, result in OF_WHICH_RAN)
         self.feed(api.AttemptOver(asked.call, number, server.uid, result, False, why, None, report))
-
-
--- a/lab/restart.py
+++ b/lab/restart.py
@@ -30,8 +30,11 @@
 PER_SERVER_S = (60.0, 40.0, 30.0)  # calls a second that the servers do when warm
 LINES_FACTOR = 1.6  # lines for what stands there at full load, and more
 HOUR_MS, DAY_MS = 3_600_000.0, 86_400_000.0
-WORLDS = {"as it was": ("none", "fresh", "hour", "day"), "twice as slow": ("none", "fresh"),
-          "all cold": ("none", "fresh")}
+WORLDS = {
+    "as it was": ("none", "fresh", "hour", "day"),
+    "twice as slow": ("none", "fresh"),
+    "all cold": ("none", "fresh"),
+}
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,7 +71,11 @@
         holds = np.random.Generator(np.random.PCG64([arm.seed, 1]))
         self.servers = [
             Server(
-                self.engine, self.contract, f"s{place}", place, per_s,
+                self.engine,
+                self.contract,
+                f"s{place}",
+                place,
+                per_s,
                 int(LINES_FACTOR * per_s * self.contract.hold_ms / 1000.0),
                 lambda: float(holds.exponential(self.contract.hold_ms)),
             )
@@ -193,12 +200,25 @@
         for n, window_ms in enumerate(WINDOWS_MS):
             gains = [a.worth[n] - b.worth[n] for a, b in zip(mine, none, strict=True)]
             mean, low, high = interval(gains, rng)
-            rows.append({
-                "restart": "all" if everyone else "one", "load": load, "world": world,
-                "memory": memory, "seconds": window_ms / 1000.0,
-                "worth": round(float(np.mean([a.worth[n] for a in mine])), 4),
-                "gain": round(mean, 4), "low": round(low, 4), "high": round(high, 4),
-                "most_cold": round(max(a.most_cold for a in mine), 3),
-            })
-    return {"experiment": "restart", "seeds": seeds, "first": first, "runs": len(plan), "broken": broken,
-            "rows": rows}
+            rows.append(
+                {
+                    "restart": "all" if everyone else "one",
+                    "load": load,
+                    "world": world,
+                    "memory": memory,
+                    "seconds": window_ms / 1000.0,
+                    "worth": round(float(np.mean([a.worth[n] for a in mine])), 4),
+                    "gain": round(mean, 4),
+                    "low": round(low, 4),
+                    "high": round(high, 4),
+                    "most_cold": round(max(a.most_cold for a in mine), 3),
+                }
+            )
+    return {
+        "experiment": "restart",
+        "seeds": seeds,
+        "first": first,
+        "runs": len(plan),
+        "broken": broken,
+        "rows": rows,
+    }
--- a/lab/spread.py
+++ b/lab/spread.py
@@ -39,8 +39,15 @@
 ABLE = 200.0 / 375.0  # of the least aim: one whose line is shorter could have taken the call in time
 # The form `planned`: lines were planned for other traffic than comes, processors are of other sizes still.
 PLANNED = Contract(
-    aim_ms=(2000.0, 1500.0), deadline_ms=9000.0, dear_share=0.25, hold_ms=9000.0, told_ms=1000.0,
-    patience_ms=3200.0, pauses=(400.0, 800.0), retries=2, turn_away_ms=2500.0,
+    aim_ms=(2000.0, 1500.0),
+    deadline_ms=9000.0,
+    dear_share=0.25,
+    hold_ms=9000.0,
+    told_ms=1000.0,
+    patience_ms=3200.0,
+    pauses=(400.0, 800.0),
+    retries=2,
+    turn_away_ms=2500.0,
 )
 MEAN_S = 40.0  # calls a second of a warm booking server there
 SIZE_CV, SPEED_CV, SHARE_CV, UNASKED = 0.5, 0.35, 0.5, 8  # one place in UNASKED is nobody's first choice
@@ -149,8 +156,13 @@
 @functools.cache
 def module_at(commit: str) -> types.ModuleType:
     """This project's control.py as it was in that commit."""
-    found = subprocess.run(["git", "show", f"{commit}:capershelf/control.py"], capture_output=True, text=True,
-                           cwd=Path(__file__).parent.parent, check=True)
+    found = subprocess.run(
+        ["git", "show", f"{commit}:capershelf/control.py"],
+        capture_output=True,
+        text=True,
+        cwd=Path(__file__).parent.parent,
+        check=True,
+    )
     module = types.ModuleType(f"control_{commit}")
     sys.modules[module.__name__] = module
     exec(compile(found.stdout, module.__name__, "exec"), module.__dict__)
@@ -167,13 +179,20 @@
         self.rules = Rules(self.contract)
         rng = np.random.Generator(np.random.PCG64(arm.seed))
         chance = np.random.Generator(np.random.PCG64([arm.seed, 1]))
-        sizes, lines, wanted = _even(rng, self.contract, arm) if arm.form == "even" else _planned(
-            rng, self.contract, arm)
+        sizes, lines, wanted = (
+            _even(rng, self.contract, arm) if arm.form == "even" else _planned(rng, self.contract, arm)
+        )
         self.servers = [
             FailingServer(
-                self.engine, self.contract, f"s{place}", place, float(per_s), int(lines[place]),
+                self.engine,
+                self.contract,
+                f"s{place}",
+                place,
+                float(per_s),
+                int(lines[place]),
                 lambda: float(chance.exponential(self.contract.hold_ms)),
-            ) for place, per_s in enumerate(sizes)
+            )
+            for place, per_s in enumerate(sizes)
         ]
         for server in self.servers:
             server.draw = lambda: float(chance.random())
@@ -183,9 +202,15 @@
         self.by_id = {server.uid: server for server in self.servers}
         self.proxies = [
             Watched(
-                self.engine, self.contract, self.rules, n, arm.proxies, 1000 * (arm.proxies * arm.seed + n),
+                self.engine,
+                self.contract,
+                self.rules,
+                n,
+                arm.proxies,
+                1000 * (arm.proxies * arm.seed + n),
                 list(self.servers),
-            ) for n in range(arm.proxies)
+            )
+            for n in range(arm.proxies)
         ]
         weights = np.array([GREED if n % GREEDY == GREEDY - 1 else 1.0 for n in range(arm.proxies)])
         self.bounds = np.cumsum(weights / weights.sum())
@@ -275,8 +300,11 @@
             sizes = np.array([1.0 / s.call_ms for s in left])
             return left[int(draw.choice(len(left), p=sizes / sizes.sum()))].uid
         state = {s.uid: self._state(s) for s in self.servers} if who == "true" else self.views[0][1]
-        left = [s for s in self.servers if s.uid not in tried and state[s.uid][1] > 0
-                and state[s.uid][0] < self.able_ms and not s.failing]
+        left = [
+            s
+            for s in self.servers
+            if s.uid not in tried and state[s.uid][1] > 0 and state[s.uid][0] < self.able_ms and not s.failing
+        ]
         # Of a late state all would choose the same: drawn by size among those with room.
         if who == "late" and left:
             draw = np.random.Generator(np.random.PCG64([event.call, len(tried)]))
@@ -289,8 +317,9 @@
         self.refused += 1
         self.since += 1
         state = {s.uid: self._state(s) for s in self.servers}
-        able = [s for s in self.servers
-                if state[s.uid][0] < self.able_ms and state[s.uid][1] and not s.failing]
+        able = [
+            s for s in self.servers if state[s.uid][0] < self.able_ms and state[s.uid][1] and not s.failing
+        ]
         if not able:
             return
         self.able += 1
@@ -369,15 +398,23 @@
             return given / max(1e-9, asked)
 
         span = int(WORST_MS / SECOND_MS)
-        windows = [seconds[n:n + span] for n in range(max(1, len(seconds) - span + 1))]
+        windows = [seconds[n : n + span] for n in range(max(1, len(seconds) - span + 1))]
         by_class = tuple(
             sum(self.served[s, kind] for s in seconds) / max(1, sum(self.offered[s, kind] for s in seconds))
             for kind in range(len(worth))
         )
         return Outcome(
-            service(seconds), min(map(service, windows)), by_class, self.calls, self.refused, self.able,
-            dict(self.beliefs), self.seconds_idle / max(1, self.seconds_refusing),
-            self.rules.attempts / max(1, self.calls), self.late / max(1, self.stood), dict(self.rules.broken),
+            service(seconds),
+            min(map(service, windows)),
+            by_class,
+            self.calls,
+            self.refused,
+            self.able,
+            dict(self.beliefs),
+            self.seconds_idle / max(1, self.seconds_refusing),
+            self.rules.attempts / max(1, self.calls),
+            self.late / max(1, self.stood),
+            dict(self.rules.broken),
         )
 
 
@@ -387,12 +424,16 @@
 def _even(rng: np.random.Generator, contract: Contract, arm: Arm) -> Sizes:
     """Calls a second of each server, its lines, and its share of first choices: other shares than sizes."""
     sizes = rng.uniform(LEAST_S, MOST_S, arm.servers)
-    return sizes, np.ceil(LINES_FACTOR * sizes * contract.hold_ms / 1000.0), rng.dirichlet(
-        8.0 * sizes / sizes.mean())
+    return (
+        sizes,
+        np.ceil(LINES_FACTOR * sizes * contract.hold_ms / 1000.0),
+        rng.dirichlet(8.0 * sizes / sizes.mean()),
+    )
 
 
 def _planned(rng: np.random.Generator, contract: Contract, arm: Arm) -> Sizes:
     """The same where lines were planned for traffic that comes otherwise, and processors for neither."""
+
     def spread(cv: float) -> np.ndarray[Any, Any]:
         return np.exp(rng.normal(0.0, math.sqrt(math.log(1.0 + cv * cv)), arm.servers))
 
@@ -422,18 +463,29 @@
             beliefs.update(one.beliefs)
             broken.update(one.broken)
         refused = sum(one.refused for one in mine)
-        rows.append({
-            "form": group.form, "proxies": group.proxies, "load": group.load, "world": group.world,
-            "who": group.who, "seeds": len(mine), "service": round(mean, 4), "low": round(low, 4),
-            "high": round(high, 4),
-            "worst": round(float(np.mean([one.worst for one in mine])), 4),
-            "by_class": [round(float(np.mean(kind)), 4)
-                         for kind in zip(*(one.by_class for one in mine), strict=True)],
-            "refused": round(refused / sum(one.tries for one in mine), 4),
-            "while_able": round(sum(one.refused_while_able for one in mine) / max(1, refused), 4),
-            "idle_seconds": round(float(np.mean([one.idle_seconds for one in mine])), 4),
-            "attempts": round(float(np.mean([one.attempts for one in mine])), 4),
-            "late": round(float(np.mean([one.late for one in mine])), 4),
-            "beliefs": dict(beliefs.most_common()), "broken": dict(broken),
-        })
+        rows.append(
+            {
+                "form": group.form,
+                "proxies": group.proxies,
+                "load": group.load,
+                "world": group.world,
+                "who": group.who,
+                "seeds": len(mine),
+                "service": round(mean, 4),
+                "low": round(low, 4),
+                "high": round(high, 4),
+                "worst": round(float(np.mean([one.worst for one in mine])), 4),
+                "by_class": [
+                    round(float(np.mean(kind)), 4)
+                    for kind in zip(*(one.by_class for one in mine), strict=True)
+                ],
+                "refused": round(refused / sum(one.tries for one in mine), 4),
+                "while_able": round(sum(one.refused_while_able for one in mine) / max(1, refused), 4),
+                "idle_seconds": round(float(np.mean([one.idle_seconds for one in mine])), 4),
+                "attempts": round(float(np.mean([one.attempts for one in mine])), 4),
+                "late": round(float(np.mean([one.late for one in mine])), 4),
+                "beliefs": dict(beliefs.most_common()),
+                "broken": dict(broken),
+            }
+        )
     return {"experiment": "spread", "rows": rows}
--- a/lab/stream.py
+++ b/lab/stream.py
@@ -25,12 +25,24 @@
 
 def settings(version: int) -> dict[str, Any]:
     """A configuration of some size, of which each version changes one class."""
-    return {"settings": {"categories": [
-        {"name": f"class-{n}", "aim": 2000.0 + (version if n == version % CLASSES else 0), "deadline": 9000.0,
-         "credit": 1.0, "late-worth": 0.1} for n in range(CLASSES)
-    ], "bounds": {"max-attempts": 1 + version % 6}, "tenants": [
-        {"name": f"tenant-{n}", "quota-per-s": 10.0 + n, "share": 1 / 200} for n in range(200)
-    ]}}
+    return {
+        "settings": {
+            "categories": [
+                {
+                    "name": f"class-{n}",
+                    "aim": 2000.0 + (version if n == version % CLASSES else 0),
+                    "deadline": 9000.0,
+                    "credit": 1.0,
+                    "late-worth": 0.1,
+                }
+                for n in range(CLASSES)
+            ],
+            "bounds": {"max-attempts": 1 + version % 6},
+            "tenants": [
+                {"name": f"tenant-{n}", "quota-per-s": 10.0 + n, "share": 1 / 200} for n in range(200)
+            ],
+        }
+    }
 
 
 class Fleet:
@@ -128,8 +140,13 @@
         whole = fleet.push(3, whole=True)
         rows.append({"proxies": proxies, "first": first, "delta": delta, "whole": whole})
     size = len(doc.canonical(settings(1)))
-    return {"experiment": "stream", "seed": seed, "document_bytes": size, "rows": rows,
-            "memory": flat_memory(versions)}
+    return {
+        "experiment": "stream",
+        "seed": seed,
+        "document_bytes": size,
+        "rows": rows,
+        "memory": flat_memory(versions),
+    }
 
 
 def text_of(found: dict[str, Any]) -> list[str]:
@@ -137,7 +154,9 @@
     for row in found["rows"]:
         for form in ("first", "delta", "whole"):
             got = row[form]
-            lines.append(f"{row['proxies']:>5} proxies, {form:<5}: last ack after {got['last_ack_ms']:.1f} "
-                         f"ms, {got['bytes_a_proxy']:.0f} bytes for each")
+            lines.append(
+                f"{row['proxies']:>5} proxies, {form:<5}: last ack after {got['last_ack_ms']:.1f} "
+                f"ms, {got['bytes_a_proxy']:.0f} bytes for each"
+            )
     lines.append(json.dumps(found["memory"]))
     return lines
--- a/lab/takeover.py
+++ b/lab/takeover.py
@@ -38,10 +38,18 @@
     ]
     known = {"rev": 1, "notices": [{"rev": 1, "pool": {"rev": 1, "all": True, "targets": targets}}]}
     contract = {"cold-from": 0.3, "ramp-time": 14000, "tip-multiple": 3, "fall": 1000, "drain-grace": 2000}
-    return {"listen": "127.0.0.1:0", "known": known, "settings": sized(1)["settings"] | {
-        "slot-no": 0, "group-size": 1, "contract": contract, "family-info": {"release": 200, "t1": 500},
-        "bounds": {"max-attempts": attempts, "cancel": True},
-    }}
+    return {
+        "listen": "127.0.0.1:0",
+        "known": known,
+        "settings": sized(1)["settings"]
+        | {
+            "slot-no": 0,
+            "group-size": 1,
+            "contract": contract,
+            "family-info": {"release": 200, "t1": 500},
+            "bounds": {"max-attempts": attempts, "cancel": True},
+        },
+    }
 
 
 def booking_server() -> str:
@@ -56,10 +64,12 @@
             def message(line: bytes, held: list[Connection] = held) -> None:
                 found = json.loads(line)
                 if found["type"] == "setup":
-                    held[0].post(json.dumps(
-                        {"type": "answer", "id": found["id"], "fields": {}, "sdp": "v=0"}).encode())
-                    held[0].post(json.dumps(
-                        {"type": "release", "id": found["id"], "fields": {}, "cause": 16}).encode())
+                    held[0].post(
+                        json.dumps({"type": "answer", "id": found["id"], "fields": {}, "sdp": "v=0"}).encode()
+                    )
+                    held[0].post(
+                        json.dumps({"type": "release", "id": found["id"], "fields": {}, "cause": 16}).encode()
+                    )
 
             by_ms = CLOCK.now_ms() + 9000.0
             held.append(Connection(sock, Lines(), message, lambda: None, "proxy", CLOCK, by_ms))
@@ -126,9 +136,21 @@
             time.sleep(left)
         call = f"{number + 1:016x}"
         sent[call] = time.perf_counter()
-        caller.post(json.dumps({"type": "setup", "id": call, "fields": {
-            "class": f"class-{number % 12}", "left": "2000", "key": call, "extras": f"dest:{number % 2}",
-        }, "sdp": "v=0\r\n"}).encode())
+        caller.post(
+            json.dumps(
+                {
+                    "type": "setup",
+                    "id": call,
+                    "fields": {
+                        "class": f"class-{number % 12}",
+                        "left": "2000",
+                        "key": call,
+                        "extras": f"dest:{number % 2}",
+                    },
+                    "sdp": "v=0\r\n",
+                }
+            ).encode()
+        )
     time.sleep(0.5)
     pipe.send("end")
     took = pipe.recv()
@@ -153,12 +175,20 @@
     rows = {}
     for versions, name in ((False, "without"), (True, "with")):
         low, high = np.percentile(calls[versions], [50.0, 99.9])
-        rows[name] = {"calls": len(calls[versions]), "p50_ms": round(float(low), 3),
-                      "p999_ms": round(float(high), 3)}
+        rows[name] = {
+            "calls": len(calls[versions]),
+            "p50_ms": round(float(low), 3),
+            "p999_ms": round(float(high), 3),
+        }
     return {
-        "experiment": "takeover", "pairs": pairs, "seconds": seconds, "calls_a_second": a_second,
+        "experiment": "takeover",
+        "pairs": pairs,
+        "seconds": seconds,
+        "calls_a_second": a_second,
         "switch_ms": switch_ms,
-        "without": rows["without"], "with": rows["with"], "versions": len(took),
+        "without": rows["without"],
+        "with": rows["with"],
+        "versions": len(took),
         "p999_difference_ms": round(rows["with"]["p999_ms"] - rows["without"]["p999_ms"], 3),
         "plan_p50_ms": round(float(np.median([one for one, _ in took])), 3),
         "takeover_p50_ms": round(float(np.median([one for _, one in took])), 3),
--- a/lab/world.py
+++ b/lab/world.py
@@ -75,7 +75,13 @@
     """One booking server."""
 
     def __init__(
-        self, engine: Time, contract: Contract, uid: str, place: int, per_s: float, lines: int,
+        self,
+        engine: Time,
+        contract: Contract,
+        uid: str,
+        place: int,
+        per_s: float,
+        lines: int,
         hold: Callable[[], float],
     ) -> None:
         self.engine, self.contract, self.uid, self.place = engine, contract, uid, place
@@ -229,7 +235,11 @@
 
 
 def arrivals(
-    rng: np.random.Generator, contract: Contract, began_ms: float, ended_ms: float, per_s: float,
+    rng: np.random.Generator,
+    contract: Contract,
+    began_ms: float,
+    ended_ms: float,
+    per_s: float,
     shares: tuple[float, ...],
 ) -> list[Arrival]:
     """Callers as they come, at an even rate by chance; places by the servers' shares."""
@@ -239,11 +249,16 @@
         at_ms += float(rng.exponential(1000.0 / per_s))
         if at_ms >= ended_ms:
             return found
-        found.append(Arrival(
-            at_ms, f"n{len(found)}", int(rng.random() < contract.dear_share),
-            int(rng.choice(len(shares), p=shares)), float(rng.random()),
-            tuple(map(float, contract.pauses[0] + rng.exponential(contract.pauses[1], contract.retries))),
-        ))
+        found.append(
+            Arrival(
+                at_ms,
+                f"n{len(found)}",
+                int(rng.random() < contract.dear_share),
+                int(rng.choice(len(shares), p=shares)),
+                float(rng.random()),
+                tuple(map(float, contract.pauses[0] + rng.exponential(contract.pauses[1], contract.retries))),
+            )
+        )
 
 
 def interval(values: list[float], rng: np.random.Generator) -> tuple[float, float, float]:
--- a/tests/memory_rig.py
+++ b/tests/memory_rig.py
@@ -22,8 +22,17 @@
 
 def record(uid: str = "s0", **changes: Any) -> ServerRecord:
     known = ServerRecord(
-        uid=uid, endpoint=f"{uid}:1", started_ms=NOW_MS - 1e6, vouched=True, seen_ms=NOW_MS, rate_per_s=20.0,
-        rate_ms=NOW_MS, wait_ms=100.0, base_ms=8.0, threshold=40.0, silent=False,
+        uid=uid,
+        endpoint=f"{uid}:1",
+        started_ms=NOW_MS - 1e6,
+        vouched=True,
+        seen_ms=NOW_MS,
+        rate_per_s=20.0,
+        rate_ms=NOW_MS,
+        wait_ms=100.0,
+        base_ms=8.0,
+        threshold=40.0,
+        silent=False,
     )
     return msgspec.structs.replace(known, **changes)
 
@@ -31,15 +40,23 @@
 def book(generation: int = 1, count: int = 3, **changes: Any) -> Book:
     """A book that is told apart from others by its generation, in every record."""
     known = Book(
-        release="0.2.0", proxy="p1", generation=generation, saved_ms=NOW_MS + generation, senders=4,
+        release="0.2.0",
+        proxy="p1",
+        generation=generation,
+        saved_ms=NOW_MS + generation,
+        senders=4,
         asked_per_s=float(generation),
         servers=tuple(record(f"s{n}", rate_per_s=float(generation)) for n in range(count)),
     )
     return msgspec.structs.replace(known, **changes)
 
 
-def located(uid: str = "s0", started_ms: float | None = NOW_MS - 1e6, endpoint: str = "",
-            standing: api.Standing = api.Standing.ACTIVE) -> m.Located:
+def located(
+    uid: str = "s0",
+    started_ms: float | None = NOW_MS - 1e6,
+    endpoint: str = "",
+    standing: api.Standing = api.Standing.ACTIVE,
+) -> m.Located:
     return m.Located(api.ListedServer(uid, 0, standing, started_ms), endpoint or f"{uid}:1")
 
 
@@ -90,7 +107,7 @@
             self.pending.append(lambda names: names.__setitem__(name, file))
         for begin in range(0, len(data), SECTOR):
             self._step()
-            file.written += data[begin:begin + SECTOR]
+            file.written += data[begin : begin + SECTOR]
         self._step()
 
     def sync(self, name: str) -> None:
@@ -150,7 +167,7 @@
 
     def write(self, name: str, data: bytes) -> None:
         if self.step == 0:
-            super().write(name, data[:self.chance.randrange(len(data))])
+            super().write(name, data[: self.chance.randrange(len(data))])
         self._count()
         super().write(name, data)
 
--- a/tests/peers.py
+++ b/tests/peers.py
@@ -41,8 +41,14 @@
         self.closed, self.opened, self.awake = threading.Event(), threading.Event(), threading.Event()
         self.awake.set()
         self.connection = Connection(
-            sock, framing, self._message, self._closed, "peer",
-            SystemClock(), SystemClock().now_ms() + 1000.0 * PATIENCE_S, self.opened.set,
+            sock,
+            framing,
+            self._message,
+            self._closed,
+            "peer",
+            SystemClock(),
+            SystemClock().now_ms() + 1000.0 * PATIENCE_S,
+            self.opened.set,
         )
         self.connection.start()
         assert self.opened.wait(PATIENCE_S)
--- a/tests/test_caller_states.py
+++ b/tests/test_caller_states.py
@@ -24,17 +24,49 @@
 TERMS = Terms.of(settings(retry_after_max_ms=2000.0))
 FIELDS = {"class": "usual", "left": "900", "key": "k", "extras": "dest:0;width:1;via:-1"}
 UNUSABLE: list[dict[str, Any]] = [
-    {"class": None}, {"class": "usual_x"}, {"class": 7}, {"left": None}, {"left": "0"}, {"left": "-5"},
-    {"left": "NaN"}, {"left": "9" * 30}, {"left": "9001"}, {"left": "x"}, {"extras": "x"},
-    {"extras": "dest:"}, {"extras": "dest:1.5"}, {"extras": "dest:-3"}, {"extras": "width:0"},
+    {"class": None},
+    {"class": "usual_x"},
+    {"class": 7},
+    {"left": None},
+    {"left": "0"},
+    {"left": "-5"},
+    {"left": "NaN"},
+    {"left": "9" * 30},
+    {"left": "9001"},
+    {"left": "x"},
+    {"extras": "x"},
+    {"extras": "dest:"},
+    {"extras": "dest:1.5"},
+    {"extras": "dest:-3"},
+    {"extras": "width:0"},
     {"extras": "width:400"},
-    {"extras": "width:99999999999999999999"}, {"key": "k" * 65}, {"key": "\n"}, {"key": "é"}, {"sdp": None},
-    {"sdp": ""}, {"sdp": 5}, {"sdp": "\ud800"}, {"fields": []}, {"fields": {"class": ["usual"]}},
+    {"extras": "width:99999999999999999999"},
+    {"key": "k" * 65},
+    {"key": "\n"},
+    {"key": "é"},
+    {"sdp": None},
+    {"sdp": ""},
+    {"sdp": 5},
+    {"sdp": "\ud800"},
+    {"fields": []},
+    {"fields": {"class": ["usual"]}},
 ]
 UNREADABLE = [
-    b"{", b"[]", b"7", b"\xff\xfe", b'{"type":"what"}', b'{"type":"setup"}', b'{"type":"setup","id":"short"}',
-    b'{"type":"setup","id":7}', b'{"type":"release"}', b"[" * 16000, b'{"id":"00000000000000a0"}', b"null",
-    b'{"type":"release","id":"00000000000000a0","cause":"x"}', b'{"type":["setup"]}', b'{"type":"answer"',
+    b"{",
+    b"[]",
+    b"7",
+    b"\xff\xfe",
+    b'{"type":"what"}',
+    b'{"type":"setup"}',
+    b'{"type":"setup","id":"short"}',
+    b'{"type":"setup","id":7}',
+    b'{"type":"release"}',
+    b"[" * 16000,
+    b'{"id":"00000000000000a0"}',
+    b"null",
+    b'{"type":"release","id":"00000000000000a0","cause":"x"}',
+    b'{"type":["setup"]}',
+    b'{"type":"answer"',
 ]
 
 
@@ -238,9 +270,17 @@
     return found
 
 
-@pytest.mark.parametrize("sends", [
-    b"", b'{"type":"se', set_up("a" * 16, class_="x")[:-1], b"x" * 20000, b'{"type":"ping","id":"1"}\n',
-], ids=["silent", "half", "half a set-up", "too long", "then idle"])
+@pytest.mark.parametrize(
+    "sends",
+    [
+        b"",
+        b'{"type":"se',
+        set_up("a" * 16, class_="x")[:-1],
+        b"x" * 20000,
+        b'{"type":"ping","id":"1"}\n',
+    ],
+    ids=["silent", "half", "half a set-up", "too long", "then idle"],
+)
 def test_callers_that_say_nothing_or_half_or_too_much_are_hung_up_on(callers: Any, sends: bytes) -> None:
     connect, events = callers
     sock = connect()
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -35,9 +35,13 @@
 
 
 @hypothesis_settings(derandomize=True, deadline=None, max_examples=60, database=None)
-@given(count=st.integers(1, 300), multiple=st.sampled_from([1.0, 1.2, 2.0, 2.5, 3.0, 6.0]),
-       budget=st.floats(0.5, 300.0), step_ms=st.sampled_from([5.0, 25.0, 70.0]),
-       idle=st.lists(st.booleans(), min_size=4, max_size=4))
+@given(
+    count=st.integers(1, 300),
+    multiple=st.sampled_from([1.0, 1.2, 2.0, 2.5, 3.0, 6.0]),
+    budget=st.floats(0.5, 300.0),
+    step_ms=st.sampled_from([5.0, 25.0, 70.0]),
+    idle=st.lists(st.booleans(), min_size=4, max_size=4),
+)
 def test_the_turns_of_all_senders_keep_the_budget_in_every_window(
     count: int, multiple: float, budget: float, step_ms: float, idle: list[bool]
 ) -> None:
@@ -100,7 +104,8 @@
     def __init__(self, fleet: int, per_s: float, told: bool = True) -> None:
         self.per_s = per_s
         self.terms = settings(
-            gateway_count=fleet, fall_multiple=3.0, fall_ms=WINDOW_MS, cold_from=0.3, ramp_ms=14000.0)
+            gateway_count=fleet, fall_multiple=3.0, fall_ms=WINDOW_MS, cold_from=0.3, ramp_ms=14000.0
+        )
         self.now_ms, self.calls, self.sent = 1000.0, 0, list[float]()
         self.noise = random.Random(5)
         self.fleet = [self.gateway(number) for number in range(fleet)]
@@ -109,23 +114,42 @@
                 self.tell_of_warm(one)
 
     def gateway(self, number: int) -> Controller:
-        one = Controller(settings(**{name: getattr(self.terms, name) for name in (
-            "gateway_count", "fall_multiple", "fall_ms", "cold_from", "ramp_ms")}, gateway_no=number), number)
+        one = Controller(
+            settings(
+                **{
+                    name: getattr(self.terms, name)
+                    for name in ("gateway_count", "fall_multiple", "fall_ms", "cold_from", "ramp_ms")
+                },
+                gateway_no=number,
+            ),
+            number,
+        )
         one.handle(self.now_ms, api.ServerList(1, True, (listed("s0", 0), listed("s1", 1))))
         return one
 
     def tell_of_warm(self, one: Controller) -> None:
         for server in ("s0", "s1"):
             per_s = self.per_s * self.noise.uniform(0.88, 1.12)
-            one.handle(self.now_ms, api.ServerReport(
-                server, api.Result.OK, api.Report(80.0, 100.0, None, per_s), False))
+            one.handle(
+                self.now_ms,
+                api.ServerReport(server, api.Result.OK, api.Report(80.0, 100.0, None, per_s), False),
+            )
 
     def starts(self) -> None:
         self.began_ms = self.now_ms
         for one in self.fleet:
-            one.handle(self.now_ms, api.ServerList(2, True, (
-                listed("s0", 0, api.Standing.DRAINING), listed("s1", 1, api.Standing.DRAINING),
-                listed("n0", 0, started_ms=self.now_ms))))
+            one.handle(
+                self.now_ms,
+                api.ServerList(
+                    2,
+                    True,
+                    (
+                        listed("s0", 0, api.Standing.DRAINING),
+                        listed("s1", 1, api.Standing.DRAINING),
+                        listed("n0", 0, started_ms=self.now_ms),
+                    ),
+                ),
+            )
 
     def play(self, span_ms: float, each_ms: float) -> None:
         """Every gateway is asked for a call each so often; the server answers none before the next step."""
@@ -136,8 +160,10 @@
                 actions = one.handle(self.now_ms, api.TimerFired("tick"))
                 if self.noise.random() < 25.0 / each_ms:
                     self.calls += 1
-                    actions = actions + one.handle(self.now_ms, api.NewCall(
-                        self.calls, self.now_ms + 3000.0, "dear", 0, f"n{self.calls}"))
+                    actions = actions + one.handle(
+                        self.now_ms,
+                        api.NewCall(self.calls, self.now_ms + 3000.0, "dear", 0, f"n{self.calls}"),
+                    )
                 for action in actions:
                     if isinstance(action, api.Send):
                         self.sent.append(self.now_ms)
@@ -149,9 +175,17 @@
         return 3.0 * part * self.per_s * WINDOW_MS / 1000.0
 
 
-@pytest.mark.parametrize(("fleet", "per_s"), [
-    (1, 20.0), (8, 25.0), (20, 6.0), (30, 10.0), (30, 60.0), (200, 10.0),
-])
+@pytest.mark.parametrize(
+    ("fleet", "per_s"),
+    [
+        (1, 20.0),
+        (8, 25.0),
+        (20, 6.0),
+        (30, 10.0),
+        (30, 60.0),
+        (200, 10.0),
+    ],
+)
 def test_a_fleet_that_sends_all_it_has_to_a_cold_server_keeps_its_budget(fleet: int, per_s: float) -> None:
     world = World(fleet, per_s)
     world.starts()
@@ -168,9 +202,18 @@
     before = list(world.sent)
     world.fleet[:21] = [world.gateway(number) for number in range(21)]
     for one in world.fleet[:21]:
-        one.handle(world.now_ms, api.ServerList(2, True, (
-            listed("s0", 0, api.Standing.DRAINING), listed("s1", 1, api.Standing.DRAINING),
-            listed("n0", 0, started_ms=world.began_ms))))
+        one.handle(
+            world.now_ms,
+            api.ServerList(
+                2,
+                True,
+                (
+                    listed("s0", 0, api.Standing.DRAINING),
+                    listed("s1", 1, api.Standing.DRAINING),
+                    listed("n0", 0, started_ms=world.began_ms),
+                ),
+            ),
+        )
         world.tell_of_warm(one)
     world.play(1500.0, 60.0)
     assert most_in_a_window(world.sent) <= allowed(world.budget(0.0))
@@ -190,13 +233,28 @@
     written: list[float] = []
     planners: list[Planner] = []
     for number in range(FLEET):
-        planner = Planner(settings(
-            gateway_no=number, gateway_count=FLEET, fall_multiple=3.0, fall_ms=WINDOW_MS, cold_from=0.3,
-            ramp_ms=14000.0, classes=(api.CallClass("dear", 20_000.0, 30_000.0),)), number, clock, 20_000.0)
+        planner = Planner(
+            settings(
+                gateway_no=number,
+                gateway_count=FLEET,
+                fall_multiple=3.0,
+                fall_ms=WINDOW_MS,
+                cold_from=0.3,
+                ramp_ms=14000.0,
+                classes=(api.CallClass("dear", 20_000.0, 30_000.0),),
+            ),
+            number,
+            clock,
+            20_000.0,
+        )
         planner.servers = servers = FakeServers(clock)
 
         def noted(
-            server: str, epoch: int, request: m.SetUp, left_ms: float, gate: m.WriteGate,
+            server: str,
+            epoch: int,
+            request: m.SetUp,
+            left_ms: float,
+            gate: m.WriteGate,
             servers: FakeServers = servers,
         ) -> None:
             if server == "n0" and gate.may_begin():
@@ -207,9 +265,16 @@
         planner.tell(m.News(1, True, (m.Located(listed("s0", 0), "127.0.0.1:1"),)))
         planner.inbox.put(m.LinkUp("s0", 1))
         planner.inbox.put(m.ServerTold("s0", api.Report(80.0, 100.0, None, per_s)))
-        planner.tell(m.News(2, True, (
-            m.Located(listed("s0", 0, api.Standing.DRAINING), "127.0.0.1:1"),
-            m.Located(listed("n0", 0, started_ms=clock.now_ms()), "127.0.0.1:2"))))
+        planner.tell(
+            m.News(
+                2,
+                True,
+                (
+                    m.Located(listed("s0", 0, api.Standing.DRAINING), "127.0.0.1:1"),
+                    m.Located(listed("n0", 0, started_ms=clock.now_ms()), "127.0.0.1:2"),
+                ),
+            )
+        )
         planners.append(planner)
     calls = 0
     for step in range(400):
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -52,6 +52,7 @@
 
 # -- the connection asks at the first byte, and only there --------------------------------------------
 
+
 def test_a_gate_is_asked_at_the_first_byte_and_a_dropped_message_is_never_written() -> None:
     connection, far, said = slow_pair()
     shut, open_, turned = Gate(False), Gate(), Gate()
@@ -90,6 +91,7 @@
 
 # -- the planner's gate: each thing that may have changed since the module decided ---------------------
 
+
 class Departed(FakeCaller):
     """A caller that has hung up, which no event has told yet."""
 
@@ -171,6 +173,7 @@
 
 # -- callers leave at each place where a call may wait --------------------------------------------------
 
+
 @pytest.fixture(params=[False, True], ids=["closes", "gives up"])
 def leaves(request: pytest.FixtureRequest) -> Callable[[Peer, Stage], None]:
     """How a caller leaves; returns once its session has read that, while the planner stands still."""
@@ -229,8 +232,17 @@
             until(lambda: stage.node.houses[0].owed == 1)
         elif where == "room":  # both servers drain: it is held
             for server in stage.planner._known.values():
-                stage.planner.tell(m.News(9, False, (m.Located(
-                    listed(server.id, int(server.id[1]), api.Standing.DRAINING), server.endpoint),)))
+                stage.planner.tell(
+                    m.News(
+                        9,
+                        False,
+                        (
+                            m.Located(
+                                listed(server.id, int(server.id[1]), api.Standing.DRAINING), server.endpoint
+                            ),
+                        ),
+                    )
+                )
             stage.settle()
             caller.set_up(A)
             stage.until(lambda: bool(stage.planner._controller.held))
@@ -245,8 +257,9 @@
         if where == "room":  # just now there is room again: the news goes before what is in the inbox
             for number in range(2):
                 server = stage.planner._known[f"s{number}"]
-                stage.planner.tell(m.News(10 + number, False, (m.Located(
-                    listed(server.id, number), server.endpoint),)))
+                stage.planner.tell(
+                    m.News(10 + number, False, (m.Located(listed(server.id, number), server.endpoint),))
+                )
         elif where == "release":
             stage.clock.advance(RELEASE_MS + 30.0)
         held.let_go_on()
@@ -261,7 +274,7 @@
 
 
 def test_no_attempt_begins_where_the_caller_left_while_its_connection_was_made(
-    leaves: Callable[[Peer, Stage], None]
+    leaves: Callable[[Peer, Stage], None],
 ) -> None:
     stage = Stage(False)
     try:
@@ -272,8 +285,9 @@
         wake, links.wake = links.wake, lambda server: ""  # type: ignore[method-assign]
         caller = stage.caller()
         caller.set_up(A)
-        stage.until(lambda: (call := stage.planner._calls.get(int(A, 16))) is not None
-                    and call.attempt is not None)
+        stage.until(
+            lambda: (call := stage.planner._calls.get(int(A, 16))) is not None and call.attempt is not None
+        )
         held = Held(stage.planner)
         leaves(caller, stage)
         links.wake = wake  # type: ignore[method-assign]
@@ -330,8 +344,7 @@
     go_on(planner)
     assert servers.out == {request(1).id: "s0"}
     servers.ended(request(1).id, False)
-    planner.inbox.put(
-        m.ServerReleased("s0", request(1).id, m.NORMAL, api.Result.ERROR, api.Why.UNSAID, None))
+    planner.inbox.put(m.ServerReleased("s0", request(1).id, m.NORMAL, api.Result.ERROR, api.Why.UNSAID, None))
     go_on(planner)
     assert caller.heard == [m.Failed(request(1).id, m.NORMAL)]
     planner.inbox.put(m.ServerAnswered("s0", request(1).id, "late", None))
@@ -343,6 +356,7 @@
 
 # -- ends that come twice, late, or for another attempt --------------------------------------------------
 
+
 def out_again(result: api.Result, cause: int) -> tuple[Planner, FakeServers, Any]:
     """A call whose first attempt has ended, at the only server."""
     planner, servers, clock = planner_with()
@@ -436,7 +450,7 @@
 
 
 def test_one_action_that_can_not_be_carried_out_does_not_cost_those_after_it(
-    monkeypatch: pytest.MonkeyPatch
+    monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     planner, servers, _ = planner_with()
     send = api.Send(77, "s0", 100.0)  # of a call that is not here
@@ -448,6 +462,7 @@
 
 # -- the same set-up again --------------------------------------------------------------------------------
 
+
 def test_a_set_up_that_comes_again_after_its_caller_hung_up_is_a_call_of_its_own_after_the_release() -> None:
     planner, servers, clock = planner_with()
     first, second = Departed(), FakeCaller(False)
@@ -472,16 +487,24 @@
 
 # -- settings of another customer --------------------------------------------------------------------------
 
-@pytest.mark.parametrize(("release_ms", "drain_grace_ms", "attempts", "name"), [
-    (50.0, 500.0, 2, "seat-buy"), (750.0, 5000.0, 9, "crane-claim"),
-])
+
+@pytest.mark.parametrize(
+    ("release_ms", "drain_grace_ms", "attempts", "name"),
+    [
+        (50.0, 500.0, 2, "seat-buy"),
+        (750.0, 5000.0, 9, "crane-claim"),
+    ],
+)
 def test_times_names_and_bounds_are_the_settings(
     release_ms: float, drain_grace_ms: float, attempts: int, name: str
 ) -> None:
     clock, caller = ManualClock(), FakeCaller(False)
     terms = settings(
-        release_ms=release_ms, drain_grace_ms=drain_grace_ms, max_attempts=attempts,
-        classes=(api.CallClass(name, 60_000.0, 90_000.0),))
+        release_ms=release_ms,
+        drain_grace_ms=drain_grace_ms,
+        max_attempts=attempts,
+        classes=(api.CallClass(name, 60_000.0, 90_000.0),),
+    )
     planner = Planner(terms, 1, clock, 500.0)
     planner.servers = servers = Unruled(clock)
     planner.tell(news(1, "s0", api.Standing.ACTIVE))
@@ -513,8 +536,6 @@
         super().__init__(clock)
         self.sent_at: list[float] = []
 
-    def set_up(
-        self, server: str, epoch: int, request: m.SetUp, left_ms: float, gate: m.WriteGate
-    ) -> None:
+    def set_up(self, server: str, epoch: int, request: m.SetUp, left_ms: float, gate: m.WriteGate) -> None:
         assert gate.may_begin()
         self.sent_at.append(self.clock.now_ms())
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -94,7 +94,8 @@
         listen, board_port = f"127.0.0.1:{free.getsockname()[1]}", other.getsockname()[1]
     target = {"uid": "s0", "endpoint": server.endpoint, "pod_group": 0, "state": "up", "boot_ms": 0}
     config = table(f"127.0.0.1:{board_port}") | {
-        "listen": listen, "limits": {"sockets": limit, "memory_mb": 96},
+        "listen": listen,
+        "limits": {"sockets": limit, "memory_mb": 96},
         "known": {"rev": 3, "notices": [{"rev": 3, "pool": {"rev": 3, "all": True, "targets": [target]}}]},
     }
     path = tmp_path / "config.json"
@@ -163,16 +164,31 @@
 
 
 def session_on(near: socket.socket) -> front.Session:
-    house = House(SystemClock(), Terms.of(settings()), lambda call: lambda event: None, lambda event: 1,
-                  lambda: True, False)
+    house = House(
+        SystemClock(),
+        Terms.of(settings()),
+        lambda call: lambda event: None,
+        lambda event: 1,
+        lambda: True,
+        False,
+    )
     house.ended = lambda session: None
     return front.Session(near, Lines(), "127.0.0.1:1", house)
 
 
 def test_a_set_up_in_the_moment_of_an_idle_connections_close_is_kept_or_crosses_the_close() -> None:
     """Its session is held up: what lies in the socket is not read yet."""
-    line = json.dumps({"type": "setup", "id": "00000000000000a1", "sdp": "v=0",
-                       "fields": {"class": "usual", "left": "5000"}}).encode() + b"\n"
+    line = (
+        json.dumps(
+            {
+                "type": "setup",
+                "id": "00000000000000a1",
+                "sdp": "v=0",
+                "fields": {"class": "usual", "left": "5000"},
+            }
+        ).encode()
+        + b"\n"
+    )
     near, far = socket.socketpair()
     session = session_on(near)
     far.sendall(line)
@@ -198,8 +214,10 @@
     clock, repairs = ManualClock(), Repairs(2)
     with socket.create_server(("127.0.0.1", 0)) as server:
         address = "{}:{}".format(*server.getsockname())
-        links = [Link(f"s{n}", address, clock, 500.0, lambda event: None, NoPoller(), repairs=repairs)  # type: ignore[arg-type]
-                 for n in range(4)]
+        links = [
+            Link(f"s{n}", address, clock, 500.0, lambda event: None, NoPoller(), repairs=repairs)  # type: ignore[arg-type]
+            for n in range(4)
+        ]
         for link in links:
             link._gap_ms = 500.0
             assert link._late()
--- a/tests/test_detector.py
+++ b/tests/test_detector.py
@@ -394,6 +394,7 @@
 
 def test_the_cost_of_a_tick_does_not_grow_with_the_square_of_the_servers() -> None:
     """Counted in looks at a gate, so that no clock has a say: all servers are silent and owe answers."""
+
     def looks(servers: int) -> int:
         rig = Rig(servers=servers, gateway_count=1, release_ms=200.0)
         for number in range(servers):
--- a/tests/test_fleet_days.py
+++ b/tests/test_fleet_days.py
@@ -75,28 +75,51 @@
     assert rules(sound()) == set()
 
 
-@pytest.mark.parametrize(("rule", "spoil"), [
-    ("lost", lambda s: vars_of(s.asked[0], outcome=Outcome.NONE, told_ms=float("inf"), words=0)),
-    ("lost", lambda s: vars_of(s.asked[0], words=2)),
-    ("lost", lambda s: vars_of(s.asked[0], description="of nobody")),
-    ("late", lambda s: vars_of(s.asked[0], told_ms=3051.0)),
-    ("two attempts", lambda s: vars_of(s.attempts[0], end_ms=1020.0)),
-    ("two attempts", lambda s: vars_of(s.attempts[1], end_ms=1560.0)),
-    ("release", lambda s: vars_of(s.attempts[1], end_ms=1352.0)),
-    ("release", lambda s: vars_of(s.attempts[1], end=End.CLOSED, end_ms=1352.0)),
-    ("attempts", lambda s: s.attempts.extend(
-        Attempt(CALL, "s3", 0, 1, at, at, End.REFUSED, at) for at in (1014.0, 1015.0, 1016.0, 1017.0))),
-    ("foul", lambda s: vars_of(s.asked[0], call="00000000000000bb")),
-    ("drain", lambda s: s.told.append(Told(0, 1, "s2", -550.0))),
-    ("crash", lambda s: vars_of(s.lives[1], ended_ms=900.0, status=1)),
-    ("crash", lambda s: vars_of(s.lives[1], term_ms=900.0, ended_ms=950.0, status=1)),
-    ("crash", lambda s: vars_of(s.lives[1], ready_ms=float("inf"))),
-    ("end untold", lambda s: vars_of(s.asked[0], over_ms=3051.0)),
-    ("left standing", lambda s: [vars_of(one, **changes) for one, changes in (
-        (s.attempts[2], {"ended_ms": float("inf")}), (s.asked[0], {"outcome": Outcome.REFUSED}))]),
-    ("cold", lambda s: (s.colds.append(Cold("s9", 1000.0, 2.0)), s.attempts.extend(
-        Attempt(f"{n:016x}", "s9", 1, 1, 1100.0 + n, 1100.0, End.REFUSED, 1101.0 + n) for n in range(7)))),
-])
+@pytest.mark.parametrize(
+    ("rule", "spoil"),
+    [
+        ("lost", lambda s: vars_of(s.asked[0], outcome=Outcome.NONE, told_ms=float("inf"), words=0)),
+        ("lost", lambda s: vars_of(s.asked[0], words=2)),
+        ("lost", lambda s: vars_of(s.asked[0], description="of nobody")),
+        ("late", lambda s: vars_of(s.asked[0], told_ms=3051.0)),
+        ("two attempts", lambda s: vars_of(s.attempts[0], end_ms=1020.0)),
+        ("two attempts", lambda s: vars_of(s.attempts[1], end_ms=1560.0)),
+        ("release", lambda s: vars_of(s.attempts[1], end_ms=1352.0)),
+        ("release", lambda s: vars_of(s.attempts[1], end=End.CLOSED, end_ms=1352.0)),
+        (
+            "attempts",
+            lambda s: s.attempts.extend(
+                Attempt(CALL, "s3", 0, 1, at, at, End.REFUSED, at) for at in (1014.0, 1015.0, 1016.0, 1017.0)
+            ),
+        ),
+        ("foul", lambda s: vars_of(s.asked[0], call="00000000000000bb")),
+        ("drain", lambda s: s.told.append(Told(0, 1, "s2", -550.0))),
+        ("crash", lambda s: vars_of(s.lives[1], ended_ms=900.0, status=1)),
+        ("crash", lambda s: vars_of(s.lives[1], term_ms=900.0, ended_ms=950.0, status=1)),
+        ("crash", lambda s: vars_of(s.lives[1], ready_ms=float("inf"))),
+        ("end untold", lambda s: vars_of(s.asked[0], over_ms=3051.0)),
+        (
+            "left standing",
+            lambda s: [
+                vars_of(one, **changes)
+                for one, changes in (
+                    (s.attempts[2], {"ended_ms": float("inf")}),
+                    (s.asked[0], {"outcome": Outcome.REFUSED}),
+                )
+            ],
+        ),
+        (
+            "cold",
+            lambda s: (
+                s.colds.append(Cold("s9", 1000.0, 2.0)),
+                s.attempts.extend(
+                    Attempt(f"{n:016x}", "s9", 1, 1, 1100.0 + n, 1100.0, End.REFUSED, 1101.0 + n)
+                    for n in range(7)
+                ),
+            ),
+        ),
+    ],
+)
 def test_each_broken_rule_is_found(rule: str, spoil: object) -> None:
     seen = sound()
     assert callable(spoil)
@@ -128,8 +151,10 @@
 
 def test_what_was_given_up_in_the_dark_is_not_held_against_the_proxy_elsewhere_it_is() -> None:
     for way, broken in (
-        (Unheard(0, "s1", 1100.0, 1900.0), set()), (Unheard(0, "s2", 1100.0, 1900.0), set()),
-        (Unheard(1, "s1", 1100.0, 1900.0), {"two attempts"}), (Unheard(0, "s0", 1100.0), {"two attempts"}),
+        (Unheard(0, "s1", 1100.0, 1900.0), set()),
+        (Unheard(0, "s2", 1100.0, 1900.0), set()),
+        (Unheard(1, "s1", 1100.0, 1900.0), {"two attempts"}),
+        (Unheard(0, "s0", 1100.0), {"two attempts"}),
         (Unheard(0, "s1", 1600.0), {"two attempts"}),
     ):
         seen = sound()
--- a/tests/test_fleet_size.py
+++ b/tests/test_fleet_size.py
@@ -90,7 +90,8 @@
     with socket.create_server(("127.0.0.1", 0)) as free:
         listen = f"127.0.0.1:{free.getsockname()[1]}"
     config = table(board.address) | {
-        "listen": listen, "known": notices(3, targets(fleet, {}), True),
+        "listen": listen,
+        "known": notices(3, targets(fleet, {}), True),
         "limits": {"sockets": SOCKETS, "memory_mb": MEMORY_MB},
     }
     places = list(range(SERVERS))
