--- a/tests/test_framing_states.py
+++ b/tests/test_framing_states.py
@@ -18,20 +18,30 @@
 TEXTS = st.text(max_size=40) | st.sampled_from(["x" * 125, "y" * 126, "é" * 400, "z" * MESSAGE_BYTES])
 BREACHES: dict[str, tuple[Callable[[bytes], bytes], int]] = {
     # What a peer sends against the rules, given its mask, and the close code.
-    "reserved bit": (lambda k: bytes([ws.build_frame(ws.TEXT, b"a", k)[0] | 0x40])
-                     + ws.build_frame(ws.TEXT, b"a", k)[1:], 1002),
+    "reserved bit": (
+        lambda k: bytes([ws.build_frame(ws.TEXT, b"a", k)[0] | 0x40]) + ws.build_frame(ws.TEXT, b"a", k)[1:],
+        1002,
+    ),
     "reserved opcode": (lambda k: ws.build_frame(0x3, b"a", k), 1002),
     "binary": (lambda k: ws.build_frame(ws.BINARY, b"a", k), 1003),
     "not UTF-8": (lambda k: ws.build_frame(ws.TEXT, b"\xff", k), 1007),
-    "not UTF-8 over fragments": (lambda k: ws.build_frame(ws.TEXT, b"\xc3", k, False)
-                                 + ws.build_frame(ws.CONTINUATION, b"a", k), 1007),
+    "not UTF-8 over fragments": (
+        lambda k: ws.build_frame(ws.TEXT, b"\xc3", k, False) + ws.build_frame(ws.CONTINUATION, b"a", k),
+        1007,
+    ),
     "too big": (lambda k: ws.build_frame(ws.TEXT, b"a" * (MESSAGE_BYTES + 1), k), 1009),
-    "too big in fragments": (lambda k: ws.build_frame(ws.TEXT, b"a" * MESSAGE_BYTES, k, False)
-                             + ws.build_frame(ws.CONTINUATION, b"a", k), 1009),
+    "too big in fragments": (
+        lambda k: (
+            ws.build_frame(ws.TEXT, b"a" * MESSAGE_BYTES, k, False) + ws.build_frame(ws.CONTINUATION, b"a", k)
+        ),
+        1009,
+    ),
     "wrong masking": (lambda k: ws.build_frame(ws.TEXT, b"a", b"" if k else b"mask"), 1002),
     "continuation of nothing": (lambda k: ws.build_frame(ws.CONTINUATION, b"a", k), 1002),
-    "message within a message": (lambda k: ws.build_frame(ws.TEXT, b"a", k, False)
-                                 + ws.build_frame(ws.TEXT, b"a", k), 1002),
+    "message within a message": (
+        lambda k: ws.build_frame(ws.TEXT, b"a", k, False) + ws.build_frame(ws.TEXT, b"a", k),
+        1002,
+    ),
     "ping in pieces": (lambda k: ws.build_frame(ws.PING, b"", k, False), 1002),
     "long ping": (lambda k: ws.build_frame(ws.PING, b"a" * 126, k), 1002),
     "half a code": (lambda k: ws.build_frame(ws.CLOSE, b"\x03", k), 1002),
@@ -77,8 +87,12 @@
 
 
 @STEADY
-@given(st.booleans(), st.lists(st.tuples(TEXTS, st.integers(0, 30), st.booleans()), max_size=6),
-       st.lists(st.integers(1, 5000), max_size=8), st.sampled_from(sorted(BREACHES)))
+@given(
+    st.booleans(),
+    st.lists(st.tuples(TEXTS, st.integers(0, 30), st.booleans()), max_size=6),
+    st.lists(st.integers(1, 5000), max_size=8),
+    st.sampled_from(sorted(BREACHES)),
+)
 def test_messages_arrive_whole_and_a_breach_gets_its_code(
     to_server: bool, sent: list[tuple[str, int, bool]], cuts: list[int], breach: str
 ) -> None:
@@ -115,16 +129,23 @@
 
 
 @STEADY
-@given(st.lists(TEXTS.map(lambda text: text.replace("\n", " ")), max_size=6),
-       st.integers(0, 6), st.integers(1, 3), st.lists(st.integers(1, 20000), max_size=8))
+@given(
+    st.lists(TEXTS.map(lambda text: text.replace("\n", " ")), max_size=6),
+    st.integers(0, 6),
+    st.integers(1, 3),
+    st.lists(st.integers(1, 20000), max_size=8),
+)
 def test_lines_arrive_whole_and_one_too_long_ends_the_connection(
     texts: list[str], at: int, times: int, cuts: list[int]
 ) -> None:
     lines = Lines()
     long = b"l" * (MESSAGE_BYTES * times + 1)
     sent = [text.encode() for text in texts]
-    heard = [message for piece in pieces(b"".join(map(lines.frame, sent[:at])), cuts)
-             for message in feed(lines, piece)[0]]
+    heard = [
+        message
+        for piece in pieces(b"".join(map(lines.frame, sent[:at])), cuts)
+        for message in feed(lines, piece)[0]
+    ]
     assert heard == [line for line in sent[:at] if line.strip()]
     assert not lines.half
     with pytest.raises(OverError) as over:
@@ -134,11 +155,18 @@
     lines.done()
 
 
-@pytest.mark.parametrize(("change", "status"), [
-    (("GET", "POST"), b"400"), (("HTTP/1.1", "HTTP/1.0"), b"400"), (("websocket", "h2c"), b"400"),
-    (("Version: 13", "Version: 8"), b"426"), (("Key: ", "Key: x"), b"400"), (("Host:", "Host"), b"400"),
-    (("Host", "H" * 17000), b"431"),
-])
+@pytest.mark.parametrize(
+    ("change", "status"),
+    [
+        (("GET", "POST"), b"400"),
+        (("HTTP/1.1", "HTTP/1.0"), b"400"),
+        (("websocket", "h2c"), b"400"),
+        (("Version: 13", "Version: 8"), b"426"),
+        (("Key: ", "Key: x"), b"400"),
+        (("Host:", "Host"), b"400"),
+        (("Host", "H" * 17000), b"431"),
+    ],
+)
 def test_a_bad_handshake_gets_its_status(change: tuple[str, str], status: bytes) -> None:
     server = ws.WebSocket()
     with pytest.raises(OverError) as over:
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -28,15 +28,33 @@
     return subprocess.run(words, cwd=root, capture_output=True, text=True, timeout=100, check=False)
 
 
-@pytest.mark.parametrize(("page", "suite", "status", "says"), [
-    ("tests/test_it.py::test_red, the server forgets, issue 27\n", SUITE, 0,
-     "KNOWN-RED, passed over: tests/test_it.py::test_red: the server forgets (issue 27)"),
-    ("", SUITE, 1, "test_red"),
-    ("tests/test_it.py::test_sound, was mended, issue 27\n", SUITE.split("\n\n")[0], 1, "XPASS(strict)"),
-    ("tests/test_it.py::test_gone, x, issue 27\n", SUITE, 4, "there is no test tests/test_it.py::test_gone"),
-    ("tests/test_it.py::test_red, no issue\n", SUITE, 4, "line 1: not 'tests/file.py::test, cause, issue'"),
-    ("tests/test_it.py::test_red, x, issue 27\n" * 4, SUITE, 4, "has 4 lines, 3 are allowed"),
-], ids=["listed", "not listed", "passes again", "fits no test", "half a line", "a fourth line"])
+@pytest.mark.parametrize(
+    ("page", "suite", "status", "says"),
+    [
+        (
+            "tests/test_it.py::test_red, the server forgets, issue 27\n",
+            SUITE,
+            0,
+            "KNOWN-RED, passed over: tests/test_it.py::test_red: the server forgets (issue 27)",
+        ),
+        ("", SUITE, 1, "test_red"),
+        ("tests/test_it.py::test_sound, was mended, issue 27\n", SUITE.split("\n\n")[0], 1, "XPASS(strict)"),
+        (
+            "tests/test_it.py::test_gone, x, issue 27\n",
+            SUITE,
+            4,
+            "there is no test tests/test_it.py::test_gone",
+        ),
+        (
+            "tests/test_it.py::test_red, no issue\n",
+            SUITE,
+            4,
+            "line 1: not 'tests/file.py::test, cause, issue'",
+        ),
+        ("tests/test_it.py::test_red, x, issue 27\n" * 4, SUITE, 4, "has 4 lines, 3 are allowed"),
+    ],
+    ids=["listed", "not listed", "passes again", "fits no test", "half a line", "a fourth line"],
+)
 def test_a_run_passes_over_just_what_the_page_lists(
     tmp_path: Path, page: str, suite: str, status: int, says: str
 ) -> None:
--- a/tests/test_logging.py
+++ b/tests/test_logging.py
@@ -43,8 +43,10 @@
 
 
 def test_every_line_has_an_event_and_fields_that_the_page_names() -> None:
-    page = {m[1]: set(re.findall("`([a-z_]+)`", m[3])) for m in ROW.finditer(
-        (ROOT / "docs" / "logging.md").read_text())}
+    page = {
+        m[1]: set(re.findall("`([a-z_]+)`", m[3]))
+        for m in ROW.finditer((ROOT / "docs" / "logging.md").read_text())
+    }
     found: dict[str, set[str]] = {}
     for path in sorted((ROOT / "capershelf").rglob("*.py")):
         for line, event, fields, shown in lines_in(path):
@@ -75,7 +77,9 @@
 def test_serve_writes_json_lines_and_refuses_what_it_does_not_know() -> None:
     with pytest.raises(ValueError, match="text or json"):
         logs.set_up("INFO", "xml")
-    code = "from capershelf import logs; from loguru import logger; logs.set_up('INFO', 'json'); " \
-           "logger.debug('no', event='x'); logger.info('yes', event='y')"
+    code = (
+        "from capershelf import logs; from loguru import logger; logs.set_up('INFO', 'json'); "
+        "logger.debug('no', event='x'); logger.info('yes', event='y')"
+    )
     found = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
     assert [json.loads(line)["event"] for line in found.stderr.splitlines()] == ["y"]
--- a/tests/test_long_day.py
+++ b/tests/test_long_day.py
@@ -43,10 +43,19 @@
         address = f"127.0.0.1:{1 + (now % 2 if reuse else now)}"
         states = (api.Standing.ACTIVE, api.Standing.DRAINING, api.Standing.GONE)
         standings = [(now - age, state) for age, state in enumerate(states)]
-        self.put(m.News(now, now == 1, tuple(
-            m.Located(listed(f"s{number}", 0, standing), address if number == now else f"old:{number}")
-            for number, standing in standings if number > 0
-        )))
+        self.put(
+            m.News(
+                now,
+                now == 1,
+                tuple(
+                    m.Located(
+                        listed(f"s{number}", 0, standing), address if number == now else f"old:{number}"
+                    )
+                    for number, standing in standings
+                    if number > 0
+                ),
+            )
+        )
         self.put(m.LinkUp(f"s{now}", 1))
         return f"s{now}"
 
@@ -54,9 +63,9 @@
         self.calls += 1
         call, caller = f"{self.calls:016x}", FakeCaller(False)
         self.seen.append(weakref.ref(caller))
-        self.put(m.SetUpCame(
-            m.SetUp(call, "usual", self.clock.now_ms() + 3000.0, f"n{call}", "sdp", 0), caller
-        ))
+        self.put(
+            m.SetUpCame(m.SetUp(call, "usual", self.clock.now_ms() + 3000.0, f"n{call}", "sdp", 0), caller)
+        )
         if end in ("stands", "is over", "caller goes, unheard"):
             self.put(m.ServerAnswered(server, call, "v=0", None))
         if end == "caller goes, unheard":
@@ -80,17 +89,29 @@
     def kept(self) -> int:
         """Everything that is kept for a server, a call or a caller."""
         planner, module = self.planner, self.planner._controller
-        return (len(planner._calls) + len(planner._unheard) + len(planner._known) + len(planner._probes)
-                + len(planner._timers) + len(module.gates) + len(module.calls) + len(module.held)
-                + len(module.first_asked) + len(module.busy_until)
-                + sum(len(s.calls) for s in planner._known.values())
-                + sum(len(gate.errors) + len(gate.out) + len(gate.answered_at) + len(gate.turns)
-                      for gate in module.gates.values()))
+        return (
+            len(planner._calls)
+            + len(planner._unheard)
+            + len(planner._known)
+            + len(planner._probes)
+            + len(planner._timers)
+            + len(module.gates)
+            + len(module.calls)
+            + len(module.held)
+            + len(module.first_asked)
+            + len(module.busy_until)
+            + sum(len(s.calls) for s in planner._known.values())
+            + sum(
+                len(gate.errors) + len(gate.out) + len(gate.answered_at) + len(gate.turns)
+                for gate in module.gates.values()
+            )
+        )
 
 
 @hypothesis_settings(derandomize=True, deadline=None, max_examples=8, database=None)
-@given(st.lists(st.lists(st.sampled_from(ENDS), min_size=1, max_size=8), min_size=2, max_size=5),
-       st.booleans())
+@given(
+    st.lists(st.lists(st.sampled_from(ENDS), min_size=1, max_size=8), min_size=2, max_size=5), st.booleans()
+)
 def test_what_is_kept_stays_flat_over_a_long_day(rounds: list[list[str]], reuse: bool) -> None:
     day = Day()
     sizes = []
--- a/tests/test_loopback.py
+++ b/tests/test_loopback.py
@@ -84,8 +84,12 @@
     assert lines == websocket
     heard, attempts = lines
     assert [word[:3] for word in heard] == [
-        ("answer", A, None), ("answer", B, None), ("release", C, 17), ("answer", D, None),
-        ("release", E, 34), ("release", A, 16),
+        ("answer", A, None),
+        ("answer", B, None),
+        ("release", C, 17),
+        ("answer", D, None),
+        ("release", E, 34),
+        ("release", A, 16),
     ]
     assert [call for _, call, _, _ in attempts] == [A, B, B, C, D, D, E]
     first, second = [when for when, call, _, _ in attempts if call == D]
@@ -99,9 +103,17 @@
     made.end()
 
 
-@pytest.mark.parametrize(("cause", "note", "expected"), [
-    (17, "sub", 17), (34, "atb", 34), (34, "acc", 34), (102, "", 34), (47, "", 17), (41, "", 34),
-])
+@pytest.mark.parametrize(
+    ("cause", "note", "expected"),
+    [
+        (17, "sub", 17),
+        (34, "atb", 34),
+        (34, "acc", 34),
+        (102, "", 34),
+        (47, "", 17),
+        (41, "", 34),
+    ],
+)
 def test_each_cause_of_a_server_reaches_the_caller_as_documented(
     stage: Stage, cause: int, note: str, expected: int
 ) -> None:
@@ -119,8 +131,14 @@
             stage.links[server].say("release", A, cause=cause, fields={"note": note})
             n = seen
             # Over, held, sent again, or waiting until a second copy of this end can no longer be on its way.
-            stage.until(lambda n=n: (call := stage.planner._calls.get(int(A, 16))) is None  # type: ignore[misc]
-                        or call.attempt is None or call.attempt.epoch is None or len(stage.attempts) > n)
+            stage.until(
+                lambda n=n: (
+                    (call := stage.planner._calls.get(int(A, 16))) is None  # type: ignore[misc]
+                    or call.attempt is None
+                    or call.attempt.epoch is None
+                    or len(stage.attempts) > n
+                )
+            )
         stage.advance(100)
     assert outcome(caller.hear())[:3] == ("release", A, expected)
     assert 1 <= len(stage.attempts) <= 6
@@ -210,10 +228,16 @@
 
 
 SPOILT = [
-    b"\xff\xfe", b"{", b'{"type":"ans', b"[]", b'{"type":"answer","id":"00000000000000a0"}', b"x" * 20000,
+    b"\xff\xfe",
+    b"{",
+    b'{"type":"ans',
+    b"[]",
+    b'{"type":"answer","id":"00000000000000a0"}',
+    b"x" * 20000,
     b'{"type":"answer","id":"00000000000000a0","sdp":"\\ud800"}',
     b'{"type":"answer","id":"short","sdp":"v=0"}',
-    b'{"type":"what","id":"00000000000000a0"}', b'{"type":"release","id":"00000000000000a0","cause":"x"}',
+    b'{"type":"what","id":"00000000000000a0"}',
+    b'{"type":"release","id":"00000000000000a0","cause":"x"}',
 ]
 
 
@@ -341,7 +365,8 @@
 
 @pytest.mark.parametrize("told", ["on the next connection", "by the list alone"])
 def test_a_call_whose_server_died_and_whose_address_was_taken_over_is_ended_once(
-    stage: Stage, told: str,
+    stage: Stage,
+    told: str,
 ) -> None:
     """The newcomer is up before a look at the address finds nobody there and before the list says so: the
     end is told on the connection opened next, or never; either way its caller hears of it, and once."""
@@ -546,7 +571,8 @@
     """Guards the shares that the module reckons with: no two planners of a fleet in one slot."""
     fleet = [
         planner_settings(settings(gateway_no=number, gateway_count=2), planner, 3)
-        for number in range(2) for planner in range(3)
+        for number in range(2)
+        for planner in range(3)
     ]
     assert sorted(one.gateway_no for one in fleet) == list(range(6))
     assert {one.gateway_count for one in fleet} == {6}
--- a/tests/test_memory_decisions.py
+++ b/tests/test_memory_decisions.py
@@ -187,8 +187,12 @@
 
 
 def test_what_drains_goes_or_starts_again_leaves_nothing() -> None:
-    for change in (located("s0", standing=DRAINING), located("s0", standing=GONE),
-                   located("s0", started_ms=NOW_MS + 5), located("s0", endpoint="elsewhere:1")):
+    for change in (
+        located("s0", standing=DRAINING),
+        located("s0", standing=GONE),
+        located("s0", started_ms=NOW_MS + 5),
+        located("s0", endpoint="elsewhere:1"),
+    ):
         kept = Kept(book(1, 1))
         kept.keeper.listed(news(located("s0"), located("s1")), NOW_MS)
         kept.learn("s0", NOW_MS)
@@ -291,8 +295,13 @@
 
 # -- the module ---------------------------------------------------------------------------------------
 FIGURES = st.builds(
-    api.LearnedServer, st.just("s0"), st.floats(0, 1e4), st.floats(0, 1e4),
-    st.none() | st.floats(0, 1e3), st.none() | st.floats(10, 1e3), st.just(False),
+    api.LearnedServer,
+    st.just("s0"),
+    st.floats(0, 1e4),
+    st.floats(0, 1e4),
+    st.none() | st.floats(0, 1e3),
+    st.none() | st.floats(10, 1e3),
+    st.just(False),
 )
 
 
--- a/tests/test_memory_file.py
+++ b/tests/test_memory_file.py
@@ -25,8 +25,11 @@
 
 
 @hypothesis_settings(derandomize=True, deadline=None, max_examples=400, database=None)
-@given(steps=st.integers(0, 60), seed=st.integers(0, 2**32), sizes=st.lists(st.integers(0, 12), min_size=1,
-                                                                          max_size=6))
+@given(
+    steps=st.integers(0, 60),
+    seed=st.integers(0, 2**32),
+    sizes=st.lists(st.integers(0, 12), min_size=1, max_size=6),
+)
 def test_a_power_cut_at_any_step_leaves_the_whole_old_or_the_whole_new(
     steps: int, seed: int, sizes: list[int]
 ) -> None:
@@ -123,7 +126,10 @@
 
 def test_figures_that_can_not_be_are_refused() -> None:
     spoilt: list[dict[str, Any]] = [
-        {"wait_ms": -1.0}, {"rate_per_s": float("nan")}, {"seen_ms": float("inf")}, {"uid": ""},
+        {"wait_ms": -1.0},
+        {"rate_per_s": float("nan")},
+        {"seen_ms": float("inf")},
+        {"uid": ""},
         {"threshold": -3.0},
     ]
     for changes in spoilt:
--- a/tests/test_memory_running.py
+++ b/tests/test_memory_running.py
@@ -136,10 +136,15 @@
     third.close()
 
 
-@pytest.mark.parametrize(("data", "mode", "said"), [
-    (b"k" * 32, 0o644, "open to others"), (b"short", 0o600, "must hold"), (b"zz" * 32, 0o600, "must hold"),
-    (None, 0o600, "No such file"),
-])
+@pytest.mark.parametrize(
+    ("data", "mode", "said"),
+    [
+        (b"k" * 32, 0o644, "open to others"),
+        (b"short", 0o600, "must hold"),
+        (b"zz" * 32, 0o600, "must hold"),
+        (None, 0o600, "No such file"),
+    ],
+)
 def test_a_key_file_that_is_no_key_is_named(tmp_path: Path, data: bytes | None, mode: int, said: str) -> None:
     path = tmp_path / "key"
     if data is not None:
@@ -149,12 +154,17 @@
         Memory(MemorySettings(str(tmp_path), str(path)), WHO, SystemClock())
 
 
-@pytest.mark.parametrize(("changes", "said"), [
-    ({}, "lack memory.folder"), ({"folder": ""}, "must be a path"),
-    ({"folder": "x", "periods": 1}, "periods"),
-    ({"folder": "x", "period": 5}, "period makes no sense"), ({"folder": "x", "most-age": "1 d"}, "most-age"),
-    ({"folder": "x", "rate-half-life": -1}, "rate-half-life"),
-])
+@pytest.mark.parametrize(
+    ("changes", "said"),
+    [
+        ({}, "lack memory.folder"),
+        ({"folder": ""}, "must be a path"),
+        ({"folder": "x", "periods": 1}, "periods"),
+        ({"folder": "x", "period": 5}, "period makes no sense"),
+        ({"folder": "x", "most-age": "1 d"}, "most-age"),
+        ({"folder": "x", "rate-half-life": -1}, "rate-half-life"),
+    ],
+)
 def test_a_memory_table_that_makes_no_sense_is_named(changes: dict[str, Any], said: str) -> None:
     with pytest.raises(ValueError, match=said):
         configuration.read(table("") | {"memory": changes}, {})
@@ -169,8 +179,10 @@
 
 def test_off_it_costs_no_import() -> None:
     """Neither `serve` nor the command line loads what belongs to the memory."""
-    code = "import sys, capershelf.cli; print([n for n in sys.modules if n.split('.')[0] in " \
-           "('msgspec', 'blake3', 'immutables', 'rich', 'numpy') or 'memory' in n or 'commands' in n])"
+    code = (
+        "import sys, capershelf.cli; print([n for n in sys.modules if n.split('.')[0] in "
+        "('msgspec', 'blake3', 'immutables', 'rich', 'numpy') or 'memory' in n or 'commands' in n])"
+    )
     found = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
     assert found.stdout.strip() == "[]"
 
@@ -241,9 +253,9 @@
                 peer = self.peers.get()
             if message["type"] == "setup":
                 self.calls[message["id"]] += 1
-                peer.connection.post(json.dumps(
-                    {"type": "answer", "id": message["id"], "fields": {}, "sdp": "v=0"}
-                ).encode())
+                peer.connection.post(
+                    json.dumps({"type": "answer", "id": message["id"], "fields": {}, "sdp": "v=0"}).encode()
+                )
 
 
 class Load:
@@ -277,14 +289,22 @@
             sock = socket.create_connection(("127.0.0.1", self.port))
         except OSError:
             return  # nobody listens between the two: not taken
-        connection = Connection(sock, Lines(), message, heard.set, "caller", clock,
-                                clock.now_ms() + 1000.0 * PATIENCE_S, lambda: None)
+        connection = Connection(
+            sock,
+            Lines(),
+            message,
+            heard.set,
+            "caller",
+            clock,
+            clock.now_ms() + 1000.0 * PATIENCE_S,
+            lambda: None,
+        )
         connection.start()
         fields = {"class": "slot-confirm", "left": "2000", "key": call[:8]}
         fields["extras"] = f"dest:{int(call, 16) % 2}"
-        connection.post(json.dumps(
-            {"type": "setup", "id": call, "fields": fields, "sdp": "v=0\r\n"}
-        ).encode())
+        connection.post(
+            json.dumps({"type": "setup", "id": call, "fields": fields, "sdp": "v=0\r\n"}).encode()
+        )
         self.taken.add(call)
         self.open.put((connection, heard))
         if len(self.taken) > 50:  # a front has places for so many
@@ -337,10 +357,17 @@
             for n, one in enumerate(servers)
         ]
         known = {"rev": 1, "notices": [{"rev": 1, "pool": {"rev": 1, "all": True, "targets": targets}}]}
-        path.write_text(json.dumps(table(board.address) | {
-            "listen": f"127.0.0.1:{port}", "known": known, "name": "p1",
-            "memory": {"folder": str(folder), "period": 200},
-        }))
+        path.write_text(
+            json.dumps(
+                table(board.address)
+                | {
+                    "listen": f"127.0.0.1:{port}",
+                    "known": known,
+                    "name": "p1",
+                    "memory": {"folder": str(folder), "period": 200},
+                }
+            )
+        )
         programs.append(Program(path))
         return programs[-1]
 
--- a/tests/test_planner_states.py
+++ b/tests/test_planner_states.py
@@ -52,9 +52,7 @@
         self.waiting: dict[str, str] = {}  # in the outbox of a connection that is read slowly
         self.gates: dict[str, m.WriteGate] = {}
 
-    def set_up(
-        self, server: str, epoch: int, request: m.SetUp, left_ms: float, gate: m.WriteGate
-    ) -> None:
+    def set_up(self, server: str, epoch: int, request: m.SetUp, left_ms: float, gate: m.WriteGate) -> None:
         now_ms = self.clock.now_ms()
         assert gate.may_begin(), "handed over though it must not begin"
         if server in self.slow:
@@ -124,9 +122,16 @@
         self.at: dict[str, FakeCaller] = {}
         self.left: set[str] = set()  # given up by their callers: nothing is owed
         self.version = 1
-        self.put(m.News(1, True, tuple(
-            m.Located(listed(server, place), f"127.0.0.1:{place + 1}") for place, server in enumerate(SERVERS)
-        )))
+        self.put(
+            m.News(
+                1,
+                True,
+                tuple(
+                    m.Located(listed(server, place), f"127.0.0.1:{place + 1}")
+                    for place, server in enumerate(SERVERS)
+                ),
+            )
+        )
 
     def put(self, event: m.Event) -> None:
         self.planner.inbox.put(event)
@@ -145,8 +150,13 @@
         return [[w for w in c.heard if w.id == call and isinstance(w, final)] for c in self.callers]
 
     # -- steps ----------------------------------------------------------------------------------------
-    @rule(target=calls, outlived=st.booleans(), kind=st.sampled_from(["usual", "dear", "what"]),
-          left_ms=st.integers(1, 4000), place=st.integers(-1, 2))
+    @rule(
+        target=calls,
+        outlived=st.booleans(),
+        kind=st.sampled_from(["usual", "dear", "what"]),
+        left_ms=st.integers(1, 4000),
+        place=st.integers(-1, 2),
+    )
     def set_up(self, outlived: bool, kind: str, left_ms: int, place: int) -> Any:
         call = f"{len(self.asked) + 1:016x}"
         self.asked[call] = m.SetUp(call, kind, self.clock.now_ms() + left_ms, f"n{call}", "sdp", place)
@@ -172,8 +182,11 @@
     @rule(call=calls)
     def come_back(self, call: str) -> None:
         caller = self.at[call]
-        if caller.outlived and not any(self.words(call)) and call not in self.left and (
-            self.clock.now_ms() < self.asked[call].expires_ms
+        if (
+            caller.outlived
+            and not any(self.words(call))
+            and call not in self.left
+            and (self.clock.now_ms() < self.asked[call].expires_ms)
         ):
             before = self.servers.sent.get(call, 0)
             self.ask(call, self.caller(True))
@@ -212,9 +225,11 @@
         self.version += 1
         place = SERVERS.index(server)
         standing = api.Standing.DRAINING if drains else api.Standing.ACTIVE
-        self.put(m.News(self.version, False, (
-            m.Located(listed(server, place, standing), f"127.0.0.1:{place + 1}"),
-        )))
+        self.put(
+            m.News(
+                self.version, False, (m.Located(listed(server, place, standing), f"127.0.0.1:{place + 1}"),)
+            )
+        )
 
     @rule(server=st.sampled_from(SERVERS), refused=st.booleans())
     def connect_fails(self, server: str, refused: bool) -> None:
@@ -242,7 +257,8 @@
         if server is not None:
             self.servers.ended(call, cause == m.CUT)
             result = {34: api.Result.FULL, 41: api.Result.RESET, 102: api.Result.NOT_SENT}.get(
-                cause, api.Result.ERROR)
+                cause, api.Result.ERROR
+            )
             self.put(m.ServerReleased(server, call, cause, result, api.Why.UNSAID, None))
 
     @rule(by_ms=st.sampled_from([1.0, 25.0, 199.0, 200.0, 1000.0]))
--- a/tests/test_registry_states.py
+++ b/tests/test_registry_states.py
@@ -25,8 +25,12 @@
 from tests.test_reload import table as base_table
 
 CONFIG = EurekaRegistry("http://127.0.0.1:1/eureka", "BOOKING", "PROXY", 1000.0, 5000.0)
-STANDINGS = {"UP": Standing.ACTIVE, "DOWN": Standing.DRAINING, "OUT_OF_SERVICE": Standing.DRAINING,
-             "STARTING": Standing.DRAINING}
+STANDINGS = {
+    "UP": Standing.ACTIVE,
+    "DOWN": Standing.DRAINING,
+    "OUT_OF_SERVICE": Standing.DRAINING,
+    "STARTING": Standing.DRAINING,
+}
 
 
 class StandIn:
@@ -40,8 +44,12 @@
 
     def change(self, app: str, name: str, status: str | None) -> None:
         instance = self.instances.get((app, name)) or {
-            "instanceId": name, "hostName": "h", "app": app, "ipAddr": "127.0.0.1",
-            "port": {"$": 5060 + len(self.instances), "@enabled": "true"}, "metadata": {"place": "1"},
+            "instanceId": name,
+            "hostName": "h",
+            "app": app,
+            "ipAddr": "127.0.0.1",
+            "port": {"$": 5060 + len(self.instances), "@enabled": "true"},
+            "metadata": {"place": "1"},
         }
         if status is None:
             self.instances.pop((app, name), None)
@@ -49,8 +57,14 @@
             instance = self.instances[app, name] = instance | {"status": status}
         self.changes.append(instance | {"actionType": "DELETED" if status is None else "MODIFIED"})
 
-    def request(self, method: str, path: str, deadline_ms: float, body: bytes = b"",
-                fields: dict[str, str] | None = None) -> tuple[int, bytes]:
+    def request(
+        self,
+        method: str,
+        path: str,
+        deadline_ms: float,
+        body: bytes = b"",
+        fields: dict[str, str] | None = None,
+    ) -> tuple[int, bytes]:
         self.asked.append((method, path))
         if self.down:
             raise ConnectionRefusedError
@@ -77,10 +91,12 @@
             by_app.setdefault(instance["app"], []).append(instance)
         statuses = sorted(instance["status"] for instance in self.instances.values())
         code = "".join(f"{status}_{statuses.count(status)}_" for status in sorted(set(statuses)))
-        applications = [{"name": app, "instance": found[0] if len(found) == 1 else found}
-                        for app, found in by_app.items()]
-        return 200, json.dumps({"applications": {"versions__delta": "1", "apps__hashcode": code,
-                                                 "application": applications}}).encode()
+        applications = [
+            {"name": app, "instance": found[0] if len(found) == 1 else found} for app, found in by_app.items()
+        ]
+        return 200, json.dumps(
+            {"applications": {"versions__delta": "1", "apps__hashcode": code, "application": applications}}
+        ).encode()
 
     def close(self) -> None: ...
 
@@ -94,8 +110,11 @@
         self.eureka = Eureka(CONFIG, "p1", "127.0.0.1:5060", ManualClock(), self.news.append)
         self.eureka._client = self.stand_in  # type: ignore[assignment]
 
-    @rule(app=st.sampled_from(["BOOKING", "OTHER"]), name=st.sampled_from(["a", "b", "c"]),
-          status=st.sampled_from([*STANDINGS, None]))
+    @rule(
+        app=st.sampled_from(["BOOKING", "OTHER"]),
+        name=st.sampled_from(["a", "b", "c"]),
+        status=st.sampled_from([*STANDINGS, None]),
+    )
     def instance_changes(self, app: str, name: str, status: str | None) -> None:
         if status is not None or (app, name) in self.stand_in.instances:
             self.stand_in.change(app, name, status)
@@ -113,8 +132,11 @@
             return
         changed = bool(self.stand_in.changes)
         assert self.eureka._attempt(self.eureka.fetch)
-        expected = {name: STANDINGS[instance["status"]]
-                    for (app, name), instance in self.stand_in.instances.items() if app == "BOOKING"}
+        expected = {
+            name: STANDINGS[instance["status"]]
+            for (app, name), instance in self.stand_in.instances.items()
+            if app == "BOOKING"
+        }
         # A lost change that leaves the counts as they were shows at the next whole list only, as in Eureka.
         if self.stand_in.asked[-1] == ("GET", "/eureka/apps"):
             self.sound = True
@@ -214,14 +236,21 @@
 @pytest.mark.parametrize("how", ["length", "chunks", "close"])
 def test_the_board_is_polled_from_what_is_known_and_after_failures(how: str) -> None:
     """A closed connection, a refusal and nonsense are passed over; events arrive once and in order."""
+
     def notice(number: int, state: str) -> dict[str, Any]:
         target = {"uid": "s0", "endpoint": "127.0.0.1:9", "pod_group": 3, "state": state, "boot_ms": 5}
         return {"rev": number, "pool": {"rev": number, "all": number == 1, "targets": [target]}}
 
     later = json.dumps({"rev": 3, "notices": [notice(2, "draining"), notice(3, "removed")]}).encode()
     again = json.dumps({"rev": 4, "notices": [notice(3, "removed"), notice(4, "up")]}).encode()
-    server = HttpServer(None, framed(b"no JSON", how), b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n",
-                        framed(later, how), framed(again, how), framed(b'{"rev":4,"notices":[]}', how))
+    server = HttpServer(
+        None,
+        framed(b"no JSON", how),
+        b"HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n",
+        framed(later, how),
+        framed(again, how),
+        framed(b'{"rev":4,"notices":[]}', how),
+    )
     told: queue.SimpleQueue[News] = queue.SimpleQueue()
     board = Board(server.endpoint, {"rev": 1, "notices": [notice(1, "up")]}, SystemClock(), told.put)
     thread = threading.Thread(target=board.run, daemon=True)
@@ -229,7 +258,11 @@
     news = [told.get(timeout=20) for _ in range(4)]
     board.end()
     assert [one.servers[0].listed.standing for one in news] == [
-        Standing.ACTIVE, Standing.DRAINING, Standing.GONE, Standing.ACTIVE]
+        Standing.ACTIVE,
+        Standing.DRAINING,
+        Standing.GONE,
+        Standing.ACTIVE,
+    ]
     assert news[0].whole
     asked = [server.heads.get(timeout=20) for _ in range(4)]
     polls = [head.split("&")[0].removeprefix("GET /board/poll?") for head in asked]
@@ -246,19 +279,39 @@
 
 
 def test_odd_notices_and_targets_are_passed_over_and_the_rest_is_taken() -> None:
-    last, news = read_notices({"rev": 9, "notices": [
-        pool(5, target("a"), "no target", target(7), target("b", "gone fishing"), target("c", endpoint="c"),
-             target("d", "draining", endpoint=None, pod_group="x"), whole=True),
-        "no notice", {"rev": "x"}, {"rev": 6, "pool": []},
-        pool(7, target("a"), target("a", "draining"), target("a")), pool(6, target("a")),
-        pool(4, target("e")), pool(8, target("a", "removed")),
-    ]}, 4)
+    last, news = read_notices(
+        {
+            "rev": 9,
+            "notices": [
+                pool(
+                    5,
+                    target("a"),
+                    "no target",
+                    target(7),
+                    target("b", "gone fishing"),
+                    target("c", endpoint="c"),
+                    target("d", "draining", endpoint=None, pod_group="x"),
+                    whole=True,
+                ),
+                "no notice",
+                {"rev": "x"},
+                {"rev": 6, "pool": []},
+                pool(7, target("a"), target("a", "draining"), target("a")),
+                pool(6, target("a")),
+                pool(4, target("e")),
+                pool(8, target("a", "removed")),
+            ],
+        },
+        4,
+    )
     assert last == 9
     told = [[(one.listed.server, one.listed.standing, one.endpoint) for one in each.servers] for each in news]
     assert told[0] == [("a", Standing.ACTIVE, target("a")["endpoint"]), ("d", Standing.DRAINING, "")]
     assert news[0].whole and news[0].kept == {"b", "c"}
     assert [[one[:2] for one in each] for each in told[1:]] == [
-        [("a", Standing.DRAINING)], [("a", Standing.GONE)]]
+        [("a", Standing.DRAINING)],
+        [("a", Standing.GONE)],
+    ]
 
 
 @pytest.mark.parametrize(
@@ -305,10 +358,16 @@
     assert polls == ["40"] * BACK + ["0"]
 
 
-@pytest.mark.parametrize("answer", [
-    b"nonsense\r\n\r\n", b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n", b"HTTP/1.1 200 OK\r\n bad\r\n\r\n",
-    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", b"HTTP/1.1 200 OK\r\nX: " + b"a" * 20000,
-])
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"nonsense\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\n bad\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+        b"HTTP/1.1 200 OK\r\nX: " + b"a" * 20000,
+    ],
+)
 def test_an_answer_that_is_not_http_is_an_error(answer: bytes) -> None:
     clock = SystemClock()
     with pytest.raises(HttpError):
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -68,7 +68,9 @@
     """`serve` as a process of its own, its log kept line by line."""
 
     def __init__(
-        self, path: Path, command: Sequence[str] = (sys.executable, "-m", "capershelf", "serve"),
+        self,
+        path: Path,
+        command: Sequence[str] = (sys.executable, "-m", "capershelf", "serve"),
         sockets: int = 1024,
     ) -> None:
         environ = os.environ | {"NODE_CONFIG": str(path)}
@@ -107,7 +109,7 @@
 
 
 def test_sighup_moves_to_the_new_board_and_the_numbering_goes_on(
-    run: Callable[[str], tuple[Program, Path]]
+    run: Callable[[str], tuple[Program, Path]],
 ) -> None:
     old, new = BoardStandIn(), BoardStandIn()
     program, path = run(old.address)
@@ -127,9 +129,7 @@
     assert ctypes.CDLL(None).tgkill(process.pid, other, number) == 0
 
 
-def test_a_signal_is_heard_whichever_thread_it_reaches(
-    run: Callable[[str], tuple[Program, Path]]
-) -> None:
+def test_a_signal_is_heard_whichever_thread_it_reaches(run: Callable[[str], tuple[Program, Path]]) -> None:
     old, new = BoardStandIn(), BoardStandIn()
     program, path = run(old.address)
     assert old.poll() == "3"
@@ -253,6 +253,10 @@
     eureka._follow("http://127.0.0.1:2/other")
     eureka.renew()
     eureka.fetch()
-    assert asked == [("POST", "/eureka/apps/PROXY"), ("GET", "/eureka/apps"),
-                     ("POST", "/other/apps/PROXY"), ("GET", "/other/apps")]
+    assert asked == [
+        ("POST", "/eureka/apps/PROXY"),
+        ("GET", "/eureka/apps"),
+        ("POST", "/other/apps/PROXY"),
+        ("GET", "/other/apps"),
+    ]
     assert eureka._client._endpoint == "127.0.0.1:2"
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -22,15 +22,26 @@
 ROOT = Path(__file__).parent.parent
 STARTS = 16
 # Each of these cost a start a tenth or more of its time once, or belongs to a part that is off.
-UNUSED = ("importlib.metadata", "capershelf.memory", "capershelf.stream", "capershelf.subset",
-          "capershelf.commands.control", "capershelf.commands.memory", "cryptography", "msgspec", "numpy",
-          "rich", "capershelf.benchlink")
+UNUSED = (
+    "importlib.metadata",
+    "capershelf.memory",
+    "capershelf.stream",
+    "capershelf.subset",
+    "capershelf.commands.control",
+    "capershelf.commands.memory",
+    "cryptography",
+    "msgspec",
+    "numpy",
+    "rich",
+    "capershelf.benchlink",
+)
 
 
 def test_serve_imports_nothing_that_it_has_no_use_for() -> None:
     code = "import sys, capershelf.cli, capershelf.node; print(*sorted(sys.modules))"
     ran = subprocess.run(
-        [sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, timeout=100, check=True)
+        [sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, timeout=100, check=True
+    )
     found = ran.stdout.split()
     assert "capershelf.core.planner" in found
     assert not set(UNUSED) & set(found)
@@ -58,8 +69,9 @@
     target = {"uid": "s0", "endpoint": server.endpoint, "pod_group": 0, "state": "up", "boot_ms": 0}
     notice = {"rev": 3, "pool": {"rev": 3, "all": True, "targets": [target]}}
     path = tmp_path / "config.json"
-    path.write_text(json.dumps(
-        table(board.address) | {"listen": listen, "known": {"rev": 3, "notices": [notice]}}))
+    path.write_text(
+        json.dumps(table(board.address) | {"listen": listen, "known": {"rev": 3, "notices": [notice]}})
+    )
     program = Program(path)
     try:
         program.says("capershelf.cli")
@@ -82,7 +94,7 @@
     program.says("has answered all it took")
     log = program.log
     last = max(number for number, line in enumerate(log) if line.endswith("| capershelf.cli"))
-    assert [line for line in log[last + 1:] if line.startswith("import time:")] == []
+    assert [line for line in log[last + 1 :] if line.startswith("import time:")] == []
 
 
 def test_an_address_is_found_for_numbers_and_names_and_for_no_nonsense() -> None:
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -161,7 +161,8 @@
     door.house.close()
     door.listener.stop_accepting()
     over = start_thread(
-        lambda: door.listener.close_all(door.house.clock.now_ms() + 1000.0 * PATIENCE_S), "close")
+        lambda: door.listener.close_all(door.house.clock.now_ms() + 1000.0 * PATIENCE_S), "close"
+    )
     until(lambda: door.listener._closing)
     assert over.is_alive(), "the accepting thread still has one in hand"
     on.set()
@@ -337,10 +338,14 @@
         fillers[-1].setblocking(False)
         fillers[-1].connect_ex(never.getsockname())
     endpoints = [silent.endpoint, resets.endpoint, "{}:{}".format(*never.getsockname())]
-    targets = [{"uid": f"s{n}", "endpoint": endpoint, "pod_group": n, "state": "up", "boot_ms": 0}
-               for n, endpoint in enumerate(endpoints)]
-    config = table("") | {"listen": listen, "known": {
-        "rev": 1, "notices": [{"rev": 1, "pool": {"rev": 1, "all": True, "targets": targets}}]}}
+    targets = [
+        {"uid": f"s{n}", "endpoint": endpoint, "pod_group": n, "state": "up", "boot_ms": 0}
+        for n, endpoint in enumerate(endpoints)
+    ]
+    config = table("") | {
+        "listen": listen,
+        "known": {"rev": 1, "notices": [{"rev": 1, "pool": {"rev": 1, "all": True, "targets": targets}}]},
+    }
     places = [[0, 1, 2] for _ in config["settings"]["categories"]]
     config["settings"]["family-info"]["pools-by-class"] = places
     path = tmp_path / "config.json"
@@ -350,8 +355,10 @@
         program.says("serves on")
         links = [silent.peer(), resets.peer()]
         caller = Peer(socket.create_connection(parse_endpoint(listen)), Lines(), queue.SimpleQueue())
-        calls = {name: f"{number:016x}" for number, name in enumerate(
-            ("stands", "out", "reset", "connects", "late"), 0xA0)}
+        calls = {
+            name: f"{number:016x}"
+            for number, name in enumerate(("stands", "out", "reset", "connects", "late"), 0xA0)
+        }
         caller.set_up(calls["stands"], extras="dest:1")
         assert resets.hear()["type"] == "setup"
         links[1].say("answer", calls["stands"], sdp="v=0")
--- a/tests/test_stream_decisions.py
+++ b/tests/test_stream_decisions.py
@@ -43,33 +43,36 @@
 TENANTS = [{"name": "a", "quota-per-s": 1, "share": 0.5}, {"name": "b", "quota-per-s": 1, "share": 0.4}]
 
 
-@pytest.mark.parametrize(("path", "value", "code", "where"), [
-    ("settings/family-info/release", 199.0, "release-gap", "settings.family-info.release"),
-    ("settings/bounds/max-attempts", 7, "attempts", "settings.bounds.max-attempts"),
-    ("settings/bounds/may-duplicate", True, "second-copies", "settings.bounds.may-duplicate"),
-    ("settings/contract/drain-grace", 2001, "drain-grace", "settings.contract.drain-grace"),
-    ("settings/contract/tip-multiple", 3.1, "fall-multiple", "settings.contract.tip-multiple"),
-    ("settings/contract/fall", 1001, "fall-time", "settings.contract.fall"),
-    ("settings/contract/ramp-time", 13_999, "ramp", "settings.contract.ramp-time"),
-    ("settings/contract/cold-from", 0.31, "cold-share", "settings.contract.cold-from"),
-    ("settings/categories/0/deadline", 8999, "deadline-open", "settings.categories[0].deadline"),
-    ("settings/categories/0/name", "other", "class-open", "settings.categories"),
-    ("settings/categories/0/name", "slot-confirm", "class-name", "settings.categories[1].name"),
-    ("settings/categories/0/aim", 9001, "aim", "settings.categories[0].aim"),
-    ("settings/categories", [], "class-open", "settings.categories"),
-    ("settings/tenants", TENANTS, "quotas", "settings.tenants"),
-    ("settings/tenants", [{"name": "a", "share": 1}, {"name": "b"}], "quotas", "settings.tenants"),
-    ("settings/tenants", [{"name": "a"}, {"name": "a"}], "tenant-name", "settings.tenants[1].name"),
-    ("settings/bounds/max-attemps", 5, "unknown-field", "settings.bounds.max-attemps"),
-    ("settings/bounds/max-attempts", "5", "not-a-number", "settings.bounds.max-attempts"),
-    ("settings/bounds/max-attempts", True, "not-a-number", "settings.bounds.max-attempts"),
-    ("settings/bounds/max-retry-after", math.nan, "not-a-number", "settings.bounds.max-retry-after"),
-    ("settings/bounds/cancel", 1, "not-a-flag", "settings.bounds.cancel"),
-    ("settings/over-share-worth", 1.5, "out-of-range", "settings.over-share-worth"),
-    ("settings/contract", 5, "not-a-table", "settings.contract"),
-    ("settings/categories", {}, "not-a-list", "settings.categories"),
-    ("settings/categories/0", 5, "not-a-table", "settings.categories[0]"),
-])
+@pytest.mark.parametrize(
+    ("path", "value", "code", "where"),
+    [
+        ("settings/family-info/release", 199.0, "release-gap", "settings.family-info.release"),
+        ("settings/bounds/max-attempts", 7, "attempts", "settings.bounds.max-attempts"),
+        ("settings/bounds/may-duplicate", True, "second-copies", "settings.bounds.may-duplicate"),
+        ("settings/contract/drain-grace", 2001, "drain-grace", "settings.contract.drain-grace"),
+        ("settings/contract/tip-multiple", 3.1, "fall-multiple", "settings.contract.tip-multiple"),
+        ("settings/contract/fall", 1001, "fall-time", "settings.contract.fall"),
+        ("settings/contract/ramp-time", 13_999, "ramp", "settings.contract.ramp-time"),
+        ("settings/contract/cold-from", 0.31, "cold-share", "settings.contract.cold-from"),
+        ("settings/categories/0/deadline", 8999, "deadline-open", "settings.categories[0].deadline"),
+        ("settings/categories/0/name", "other", "class-open", "settings.categories"),
+        ("settings/categories/0/name", "slot-confirm", "class-name", "settings.categories[1].name"),
+        ("settings/categories/0/aim", 9001, "aim", "settings.categories[0].aim"),
+        ("settings/categories", [], "class-open", "settings.categories"),
+        ("settings/tenants", TENANTS, "quotas", "settings.tenants"),
+        ("settings/tenants", [{"name": "a", "share": 1}, {"name": "b"}], "quotas", "settings.tenants"),
+        ("settings/tenants", [{"name": "a"}, {"name": "a"}], "tenant-name", "settings.tenants[1].name"),
+        ("settings/bounds/max-attemps", 5, "unknown-field", "settings.bounds.max-attemps"),
+        ("settings/bounds/max-attempts", "5", "not-a-number", "settings.bounds.max-attempts"),
+        ("settings/bounds/max-attempts", True, "not-a-number", "settings.bounds.max-attempts"),
+        ("settings/bounds/max-retry-after", math.nan, "not-a-number", "settings.bounds.max-retry-after"),
+        ("settings/bounds/cancel", 1, "not-a-flag", "settings.bounds.cancel"),
+        ("settings/over-share-worth", 1.5, "out-of-range", "settings.over-share-worth"),
+        ("settings/contract", 5, "not-a-table", "settings.contract"),
+        ("settings/categories", {}, "not-a-list", "settings.categories"),
+        ("settings/categories/0", 5, "not-a-table", "settings.categories[0]"),
+    ],
+)
 def test_each_rule_has_its_code_and_names_its_field(path: str, value: Any, code: str, where: str) -> None:
     offences = standing.check(changed(path, value), CONTRACT, {"slot-lookup": 9000.0})
     assert (code, where) in [(one.code, one.path) for one in offences]
@@ -77,8 +80,12 @@
 
 def test_the_operators_own_file_and_what_is_more_careful_pass() -> None:
     assert standing.check(OWN, CONTRACT, {"slot-lookup": 9000.0}) == []
-    for path, value in (("settings/contract/tip-multiple", 2.0), ("settings/contract/ramp-time", 20_000),
-                        ("settings/family-info/release", 250), ("settings/categories/0/deadline", 9500)):
+    for path, value in (
+        ("settings/contract/tip-multiple", 2.0),
+        ("settings/contract/ramp-time", 20_000),
+        ("settings/family-info/release", 250),
+        ("settings/categories/0/deadline", 9500),
+    ):
         assert standing.check(changed(path, value), CONTRACT, {"slot-lookup": 9000.0}) == []
     assert standing.check(changed("settings/categories/0/deadline", 3000), CONTRACT, {}) == []
     assert standing.check([])[0].code == "not-a-table"
@@ -86,10 +93,15 @@
 
 JSON = st.recursive(
     st.none() | st.booleans() | st.integers(-5, 5) | st.floats(allow_nan=True) | st.text(max_size=4),
-    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(
-        st.sampled_from(["settings", "bounds", "contract", "categories", "tenants", "name", "aim", "x"]),
-        inner, max_size=4,
-    ), max_leaves=12,
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(
+            st.sampled_from(["settings", "bounds", "contract", "categories", "tenants", "name", "aim", "x"]),
+            inner,
+            max_size=4,
+        )
+    ),
+    max_leaves=12,
 )
 
 
@@ -126,8 +138,11 @@
     new["eureka"]["url"] = "http://x"
     new["eureka"]["app"] = "Y"
     assert {one.path: one.when for one in changes(OWN, new)} == {
-        "settings.categories[0].aim": When.NEW_CALLS, "settings.tenants": When.NOW,
-        "settings.group-size": When.NEXT_START, "eureka.url": When.NOW, "eureka.app": When.NEXT_START,
+        "settings.categories[0].aim": When.NEW_CALLS,
+        "settings.tenants": When.NOW,
+        "settings.group-size": When.NEXT_START,
+        "eureka.url": When.NOW,
+        "eureka.app": When.NEXT_START,
     }
     kept = keep_until_start(OWN, new)
     assert kept["settings"]["group-size"] == 1
@@ -201,8 +216,11 @@
 
 def test_signatures_bind_number_text_and_time_and_keys_can_be_taken_away() -> None:
     private, other = Ed25519PrivateKey.generate(), Ed25519PrivateKey.generate()
-    keys = [Key("k", private.public_key()), Key("late", private.public_key(), until_ms=50.0),
-            Key("gone", private.public_key(), revoked=True)]
+    keys = [
+        Key("k", private.public_key()),
+        Key("late", private.public_key(), until_ms=50.0),
+        Key("gone", private.public_key(), revoked=True),
+    ]
     ring = KeyRing(tuple(keys))
     number = Number(1, 7)
     good = sign(private, "k", number, "digest", 100.0)
@@ -266,9 +284,10 @@
     rig.call(2)
     before = rig.controller.calls[2].kind
     kinds = (api.CallClass("usual", aim_ms=700, deadline_ms=900), api.CallClass("new", 700, 900, worth=2.0))
-    new = api.Settings(**{
-        name: getattr(rig.controller.settings, name) for name in api.Settings.__dataclass_fields__
-    } | {"classes": kinds, "max_attempts": 3, "tenants": (api.Tenant("t", 5.0),)})
+    new = api.Settings(
+        **{name: getattr(rig.controller.settings, name) for name in api.Settings.__dataclass_fields__}
+        | {"classes": kinds, "max_attempts": 3, "tenants": (api.Tenant("t", 5.0),)}
+    )
     rig.tell(api.NewSettings(new))
     assert rig.controller.calls[2].kind is before
     assert rig.controller.gates["s0"].base_ms == 40.0
--- a/tests/test_stream_protocol.py
+++ b/tests/test_stream_protocol.py
@@ -118,8 +118,17 @@
     wire.deliver()
     assert mine.base == two.document
     liar = p.ServiceEnd(shelf_of(one, two))
-    liar.receive({"type": "hello", "proxy": "x", "speaks": [1], "can": ["delta"], "epoch": 1, "version": 1,
-                  "digest": one.digest})
+    liar.receive(
+        {
+            "type": "hello",
+            "proxy": "x",
+            "speaks": [1],
+            "can": ["delta"],
+            "epoch": 1,
+            "version": 1,
+            "digest": one.digest,
+        }
+    )
     [offer] = says(liar.offer(two))
     fresh = proxy()
     fresh.connected("s")
@@ -143,9 +152,14 @@
 def part(published: p.Published, number: int, data: bytes | None = None) -> p.Message:
     import base64
 
-    piece = published.data[number * p.PART_BYTES:(number + 1) * p.PART_BYTES] if data is None else data
-    return {"type": "part", "epoch": published.number.epoch, "version": published.number.version,
-            "number": number, "data": base64.b64encode(piece).decode()}
+    piece = published.data[number * p.PART_BYTES : (number + 1) * p.PART_BYTES] if data is None else data
+    return {
+        "type": "part",
+        "epoch": published.number.epoch,
+        "version": published.number.version,
+        "number": number,
+        "data": base64.b64encode(piece).decode(),
+    }
 
 
 def test_parts_doubled_out_of_order_or_of_another_length_are_asked_for_again_then_refused() -> None:
@@ -166,10 +180,14 @@
     assert any(isinstance(step, p.Arrived) for step in found)
 
 
-@pytest.mark.parametrize(("changes", "code"), [
-    ({"digest": "0" * 64}, "digest"), ({"whole": "0" * 64}, "digest"),
-    ({"length": 3 * 2**30, "parts": 393_216}, "too-long"),
-])
+@pytest.mark.parametrize(
+    ("changes", "code"),
+    [
+        ({"digest": "0" * 64}, "digest"),
+        ({"whole": "0" * 64}, "digest"),
+        ({"length": 3 * 2**30, "parts": 393_216}, "too-long"),
+    ],
+)
 def test_what_is_not_as_offered_is_refused(changes: p.Message, code: str) -> None:
     one, mine = version(1), ready()
     steps = mine.receive(offer_of(one, **changes), NOW_MS) + mine.receive(part(one, 0), NOW_MS)
@@ -177,10 +195,22 @@
     assert mine.ledger.good is None
 
 
-@pytest.mark.parametrize("changes", [
-    {"parts": 9}, {"length": 0}, {"length": "5"}, {"epoch": -1}, {"version": 0}, {"version": True},
-    {"form": "other"}, {"digest": 5}, {"whole": "x" * 600}, {"type": "hello"}, {"epoch": 2**60},
-])
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"parts": 9},
+        {"length": 0},
+        {"length": "5"},
+        {"epoch": -1},
+        {"version": 0},
+        {"version": True},
+        {"form": "other"},
+        {"digest": 5},
+        {"whole": "x" * 600},
+        {"type": "hello"},
+        {"epoch": 2**60},
+    ],
+)
 def test_nonsense_ends_the_connection(changes: p.Message) -> None:
     steps = ready().receive(offer_of(version(1), **changes), NOW_MS)
     assert [type(step) for step in steps] == [p.Hang]
@@ -201,16 +231,42 @@
 
 
 @hypothesis_settings(derandomize=True, deadline=None, max_examples=300, database=None)
-@given(st.lists(st.one_of(
-    st.binary(max_size=60),
-    st.from_regex(rb'\{"type":"(offer|part|welcome|want|ack)".{0,80}\}', fullmatch=True),
-    st.dictionaries(st.sampled_from(["type", "epoch", "version", "number", "data", "length", "parts", "form",
-                                     "digest", "whole", "from", "most", "proxy", "speaks", "can"]),
-                    st.one_of(st.integers(-2, 10), st.sampled_from(["offer", "part", "hello", "want", "ack",
-                                                                   "whole", "delta", "p"]), st.none(),
-                              st.lists(st.integers(0, 2), max_size=2))).map(
-        lambda found: json.dumps(found).encode()),
-), max_size=12))
+@given(
+    st.lists(
+        st.one_of(
+            st.binary(max_size=60),
+            st.from_regex(rb'\{"type":"(offer|part|welcome|want|ack)".{0,80}\}', fullmatch=True),
+            st.dictionaries(
+                st.sampled_from(
+                    [
+                        "type",
+                        "epoch",
+                        "version",
+                        "number",
+                        "data",
+                        "length",
+                        "parts",
+                        "form",
+                        "digest",
+                        "whole",
+                        "from",
+                        "most",
+                        "proxy",
+                        "speaks",
+                        "can",
+                    ]
+                ),
+                st.one_of(
+                    st.integers(-2, 10),
+                    st.sampled_from(["offer", "part", "hello", "want", "ack", "whole", "delta", "p"]),
+                    st.none(),
+                    st.lists(st.integers(0, 2), max_size=2),
+                ),
+            ).map(lambda found: json.dumps(found).encode()),
+        ),
+        max_size=12,
+    )
+)
 def test_nothing_that_comes_makes_either_end_raise_or_take_anything(lines: list[bytes]) -> None:
     mine, theirs = ready(Ledger(Number(1, 3), "three")), p.ServiceEnd(shelf_of(version(1)))
     theirs.offer(version(1))
--- a/tests/test_stream_running.py
+++ b/tests/test_stream_running.py
@@ -73,6 +73,7 @@
 
     def wait(self, what: str, wanted: Any) -> None:
         """Until the proxy has, or has refused, this version."""
+
         def come() -> bool:
             found = self.proxy().get(what)
             return bool((found["version"] if isinstance(found, dict) else found) == wanted)
@@ -131,7 +132,10 @@
     push(tmp_path, changed("settings/family-info/release", 150), "--unchecked")
     service.wait("refuse", "1.2")
     assert service.proxy()["refuse"] | {"text": ""} == {
-        "version": "1.2", "code": "release-gap", "path": "settings.family-info.release", "text": "",
+        "version": "1.2",
+        "code": "release-gap",
+        "path": "settings.family-info.release",
+        "text": "",
     }
     assert proxy.attempts == 4
     push(tmp_path, attempts(3))
@@ -144,8 +148,10 @@
 ) -> None:
     """Good, bad and truncated versions, a service that vanishes in the middle, and SIGHUP's reload."""
     servers, port = [Answering(), Answering()], free_port()
-    targets = [{"uid": f"s{n}", "endpoint": one.endpoint, "pod_group": n, "state": "up", "boot_ms": 0}
-               for n, one in enumerate(servers)]
+    targets = [
+        {"uid": f"s{n}", "endpoint": one.endpoint, "pod_group": n, "state": "up", "boot_ms": 0}
+        for n, one in enumerate(servers)
+    ]
     known = {"rev": 1, "notices": [{"rev": 1, "pool": {"rev": 1, "all": True, "targets": targets}}]}
     folder, kept = tmp_path / "versions", tmp_path / "kept"
     folder.mkdir()
@@ -154,8 +160,12 @@
     ends.append(liar)
     service = Service(folder)
     ends.append(service)
-    proxy = Proxy({"services": [liar.address, service.address], "folder": str(kept)}, known=known,
-                  listen=f"127.0.0.1:{port}", planners=2)
+    proxy = Proxy(
+        {"services": [liar.address, service.address], "folder": str(kept)},
+        known=known,
+        listen=f"127.0.0.1:{port}",
+        planners=2,
+    )
     ends.append(proxy)
     load = Load(port)
     until(lambda: len(load.taken) > 30)
@@ -206,7 +216,7 @@
             part = {"type": "part", "epoch": 1, "version": 999, "number": 0, "data": "AAAA" * 2000}
             lines = [p.encode(one) + b"\n" for one in ({"type": "welcome", "speaks": 1}, *say, part)]
             data = b"".join(lines)
-            sock.sendall(data[:len(data) - 100 * self.cut % len(data)] if self.cut else data[:-1])
+            sock.sendall(data[: len(data) - 100 * self.cut % len(data)] if self.cut else data[:-1])
             self.cut += 1
             sock.close()
 
@@ -285,7 +295,8 @@
     proxy = Proxy({"services": [service.address], "keys": str(tmp_path / "trusted")})
     ends.append(proxy)
     for number, options, code in (
-        (1, [], "unsigned"), (2, ["--sign-with", str(keys / "theirs.key")], "unknown-key"),
+        (1, [], "unsigned"),
+        (2, ["--sign-with", str(keys / "theirs.key")], "unknown-key"),
         (3, ["--sign-with", str(keys / "theirs.key"), "--key-name", "ours"], "bad-signature"),
         (4, ["--sign-with", str(keys / "ours.key"), "--valid", "-1"], "expired"),
     ):
@@ -311,8 +322,10 @@
     assert service.proxy()["refuse"]["code"] == "revoked-key"
     (keys / "ours.key").chmod(0o644)
     (folder / "next.txt").write_text("{}")
-    found = run.invoke(main, ["control", "push", str(folder), str(folder / "next.txt"), "--sign-with",
-                              str(keys / "ours.key")])
+    found = run.invoke(
+        main,
+        ["control", "push", str(folder), str(folder / "next.txt"), "--sign-with", str(keys / "ours.key")],
+    )
     assert found.exit_code == 1
     assert "open to others" in found.output
 
@@ -349,9 +362,9 @@
         certificate, secret = folder / f"{subject}.pem", folder / f"{subject}.key"
         certificate.write_bytes(made(entry, own.public_key(), False).public_bytes(pem))
         secret.touch(0o600)
-        secret.write_bytes(own.private_bytes(
-            pem, serialization.PrivateFormat.PKCS8, serialization.NoEncryption()
-        ))
+        secret.write_bytes(
+            own.private_bytes(pem, serialization.PrivateFormat.PKCS8, serialization.NoEncryption())
+        )
         return str(certificate), str(secret)
 
     return issue
@@ -370,8 +383,10 @@
     ends.append(service)
     names = {"certificate": "", "key-file": ""}
     certificate, key = foreign("stranger")
-    stranger = Proxy({"services": [service.address], "ca": ca, "certificate": certificate, "key-file": key},
-                     name="stranger")
+    stranger = Proxy(
+        {"services": [service.address], "ca": ca, "certificate": certificate, "key-file": key},
+        name="stranger",
+    )
     ends.append(stranger)
     certificate, key = issue("client")
     names |= {"certificate": certificate, "key-file": key}
@@ -426,9 +441,13 @@
         lines: queue.SimpleQueue[dict[str, Any]] = queue.SimpleQueue()
         heard[name] = lines
         connection = Connection(
-            socket.create_connection(("127.0.0.1", service.service.port)), Lines(),
+            socket.create_connection(("127.0.0.1", service.service.port)),
+            Lines(),
             lambda line, lines=lines: lines.put(json.loads(line)),  # type: ignore[misc]
-            lambda: None, name, CLOCK, CLOCK.now_ms() + 9000.0,
+            lambda: None,
+            name,
+            CLOCK,
+            CLOCK.now_ms() + 9000.0,
         )
         connection.start()
         connection.post(p.encode({"type": "hello", "proxy": name, "speaks": [1], "can": ["whole"]}))
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -47,10 +47,17 @@
         sock.close()
 
 
-@pytest.mark.parametrize(("says", "trickles"), [
-    (b"", False), (b"HTTP/1.1 2", False), (HEAD + b'{"rev":', False), (HEAD, True),
-    (b"HTTP/1.1 100 Continue\r\n\r\n", False),
-], ids=["nothing", "half a head", "half a body", "a byte now and then", "only that it goes on"])
+@pytest.mark.parametrize(
+    ("says", "trickles"),
+    [
+        (b"", False),
+        (b"HTTP/1.1 2", False),
+        (HEAD + b'{"rev":', False),
+        (HEAD, True),
+        (b"HTTP/1.1 100 Continue\r\n\r\n", False),
+    ],
+    ids=["nothing", "half a head", "half a body", "a byte now and then", "only that it goes on"],
+)
 def test_a_watch_that_falls_silent_is_given_up_and_asked_for_on_a_new_connection(
     says: bytes, trickles: bool
 ) -> None:
