Take no answer for that of a set-up which has not left its outbox

Seen: tests/test_planner_states.py failed when run with a handful of other files (hypothesis draws by the modules that are loaded; alone, and in the whole suite, it passed): an answer to a call whose set-up waits in an outbox was told to the caller, and the release that followed went out behind the set-up.

At fault: Planner._answered took an attempt for begun once it was handed to a connection. A server can only mean an earlier attempt there, which was given up since; taking it would leave a call standing that the server has released.

Change: the set-up is taken back from the outbox and the attempt ends as not sent; the module sends the call anew.

Test: tests/test_crossings.py, fails without the change; the run that failed passes.

--- a/capershelf/core/planner.py
+++ b/capershelf/core/planner.py
@@ -372,6 +372,10 @@
                 # Guards against a call that stands for nobody: it was given up while this was on its way.
                 self._release(event.server, event.id, m.NORMAL)
             return
+        if event.id in self.servers.withdraw(event.server, event.id):
+            # Its set-up has not left the outbox: an earlier attempt there is answered, given up since.
+            self._end_attempt(call, api.Result.NOT_SENT)
+            return
         attempt.end()
         call.attempt = None
         if not self._latch(call):
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -336,6 +336,17 @@
         stage.end()
 
 
+def test_an_answer_to_a_set_up_that_is_still_in_the_outbox_is_not_its_answer() -> None:
+    """It is an earlier attempt's there: the one that waits is sent anew, nothing is released behind it."""
+    planner, servers, _, caller = in_outbox()
+    planner.inbox.put(m.ServerAnswered("s0", request(1).id, "of an earlier attempt", None))
+    go_on(planner)
+    assert not caller.heard and planner.open_calls == 1
+    servers.read("s0")
+    go_on(planner)
+    assert len(servers.out) == 1, "one attempt, and it is out"
+
+
 def test_a_call_that_ended_before_its_answer_came_is_told_to_be_over_and_asked_for_nowhere_else() -> None:
     """Its answer was lost, or is late: the server's normal end says that it stood there and is over."""
     planner, servers, clock = planner_with()
