--- a/lab/__main__.py
+++ b/lab/__main__.py
@@ -253,6 +253,7 @@
 @click.option("--seconds", default=8.0, show_default=True, help="In which callers come.")
 @click.option("--load", default=0.6, show_default=True, help="Of what the booking servers can do together.")
 @click.option("--per-server", default=15.0, show_default=True, help="Calls a second that one does.")
+@click.option("--subset", default=0, show_default=True, help="Members of a service for each proxy; 0: all.")
 @click.option("--logs", type=click.Path(file_okay=False), help="Folder to keep the processes' logs in.")
 @click.option("--json", "as_json", is_flag=True, help="Each day as one JSON object on a line.")
 def fleet_command(
@@ -265,6 +266,7 @@
     seconds: float,
     load: float,
     per_server: float,
+    subset: int,
     logs: str | None,
     as_json: bool,
 ) -> None:
@@ -273,10 +275,11 @@
     Days named: these; none: all.
     """
     kept = True
+    extra = {"subset": {"size": subset}} if subset else {}
     for name in days or tuple(SCRIPTS):
         for seed in seeds:
             shape = Shape(proxies, servers, zones, spares, seconds)
-            report = fleet_day.play(fleet_day.Plan(name, seed, shape, load, per_server))
+            report = fleet_day.play(fleet_day.Plan(name, seed, shape, load, per_server, extra=extra))
             kept &= not report.broken
             if as_json:
                 click.echo(json.dumps(report.as_json()))
--- a/tests/test_fleet_days.py
+++ b/tests/test_fleet_days.py
@@ -16,10 +16,12 @@
 from lab.fleet.script import SCRIPTS, Shape, script
 
 ROOT = Path(__file__).parent.parent
-DAYS = ("roll", "herd", "stall", "late", "zone", "split", "join", "cold", "subset")
+DAYS = ("roll", "herd", "stall", "late", "zone", "split", "join", "cold", "subset", "cold-subset")
 COLD_PROXIES, SUBSET_SERVERS = 30, 16
+COLD_SUBSET = ["--servers", "12", "--spares", "6", "--zones", "3", "--load", "0.3", "--subset", "4"]
 WORDS = {
     "cold": ["--proxies", str(COLD_PROXIES)],
+    "cold-subset": ["--proxies", str(COLD_PROXIES), *COLD_SUBSET],
     "subset": ["--servers", str(SUBSET_SERVERS), "--spares", "5", "--zones", "3", "--load", "0.4"],
 }
 AT_ONCE = 4  # days side by side: each waits more than it works
@@ -28,7 +30,7 @@
 @pytest.fixture(scope="module")
 def days() -> dict[str, Future[subprocess.CompletedProcess[str]]]:
     def play(name: str) -> subprocess.CompletedProcess[str]:
-        words = [sys.executable, "-m", "lab", "fleet", name, "--seconds", "7", "--json"]
+        words = [sys.executable, "-m", "lab", "fleet", name.partition("-")[0], "--seconds", "7", "--json"]
         words += WORDS.get(name, [])
         return subprocess.run(words, cwd=ROOT, capture_output=True, text=True, timeout=240, check=False)
 
@@ -43,7 +45,7 @@
     played = days[name].result()
     assert played.returncode == 0, played.stdout + played.stderr[-3000:]
     told = json.loads(played.stdout)
-    assert told["broken"] == {} and told["proxies"] == (COLD_PROXIES if name == "cold" else 8)
+    assert told["broken"] == {} and told["proxies"] == (COLD_PROXIES if name.startswith("cold") else 8)
     assert (told["servers"] == SUBSET_SERVERS) is (name == "subset")
     assert told["tries"] > 100 and told["outcomes"]["stands"] > 50  # the day was a day
 
