Count what a set-up has left from before the standstill in which it lay unread

The call was sent 1,834 ms before the proxy was let go on after SIGSTOP, with 2,250 ms left, and by the caller's clock was over 416 ms after that; the proxy read it then and gave it 2,250 ms from there.

At fault: vocabulary.set_up_of counts left from the reading. Now the clock finds a standstill: a gap of over 1.6 s between two readings, where the board's thread reads it every 1.5 s at least; set-ups read within 200 ms after it count from its beginning, and are given 200 ms at the least. Without a board nothing changes.

--- a/capershelf/core/clock.py
+++ b/capershelf/core/clock.py
@@ -8,10 +8,25 @@
 import math
 import queue
 import time
+from dataclasses import dataclass
 from typing import Generic, Protocol, TypeVar
 
 T = TypeVar("T")
 
+BACKLOG_MS = 200.0  # what came while this process stood still has been read so long after it goes on
+
+
+@dataclass(frozen=True, slots=True)
+class Standstill:
+    """A time in which no thread of this process ran: it was stopped, or had no processor."""
+
+    since_ms: float
+    until_ms: float
+
+    def unread_ms(self, now_ms: float) -> float:
+        """How long what is read now may have lain unread at the most; 0 once the backlog is read."""
+        return now_ms - self.since_ms if now_ms - self.until_ms <= BACKLOG_MS else 0.0
+
 
 class Sleeper(Protocol):
     """What waits by a clock."""
@@ -23,11 +38,16 @@
 class Clock(Protocol):
     """What tells the time and waits by it."""
 
+    standstill: Standstill | None  # the last that was found
+
     def now_ms(self) -> float: ...
 
     def watch(self, sleeper: Sleeper) -> None:
         """Have it woken whenever this clock is moved by hand."""
 
+    def find_standstills(self, longest_gap_ms: float) -> None:
+        """Some thread reads this clock at least so often: a longer gap is a standstill of the process."""
+
     def seconds_until(self, deadline_ms: float) -> float | None:
         """Real seconds to sleep for, None to sleep until woken."""
 
@@ -37,6 +57,8 @@
 
     def __init__(self) -> None:
         self._last_ms = 0.0
+        self._longest_gap_ms = math.inf
+        self.standstill: Standstill | None = None
 
     def now_ms(self) -> float:
         # Without a lock, for it is read several times a message: threads that cross here can only leave a
@@ -44,9 +66,15 @@
         now_ms = time.time() * 1000.0
         if now_ms < self._last_ms:
             return self._last_ms
+        if now_ms - self._last_ms > self._longest_gap_ms:
+            self.standstill = Standstill(self._last_ms, now_ms)
         self._last_ms = now_ms
         return now_ms
 
+    def find_standstills(self, longest_gap_ms: float) -> None:
+        self.now_ms()  # the first gap begins here
+        self._longest_gap_ms = longest_gap_ms
+
     def watch(self, sleeper: Sleeper) -> None:
         """Nobody moves this clock by hand."""
 
@@ -62,6 +90,7 @@
     def __init__(self, now_ms: float = 1_000_000.0) -> None:
         self._now_ms = now_ms
         self._watchers: list[Sleeper] = []
+        self.standstill: Standstill | None = None
 
     def now_ms(self) -> float:
         return self._now_ms
@@ -69,6 +98,9 @@
     def watch(self, sleeper: Sleeper) -> None:
         self._watchers.append(sleeper)
 
+    def find_standstills(self, longest_gap_ms: float) -> None:
+        """This clock stands still by itself: who moves it says so."""
+
     def seconds_until(self, deadline_ms: float) -> float | None:
         return 0.0 if deadline_ms <= self._now_ms else None
 
--- a/capershelf/fronts/session.py
+++ b/capershelf/fronts/session.py
@@ -6,6 +6,7 @@
 import socket
 import threading
 from collections.abc import Callable
+from dataclasses import replace
 
 from loguru import logger
 
@@ -20,6 +21,7 @@
 FIRST_MS = 2000.0  # to say anything at all,
 HALF_MS = 1000.0  # for the rest of a message that it has begun,
 IDLE_MS = 6000.0  # and between messages with no call here: it should itself hang up after 4 s.
+LEAST_LEFT_MS = 200.0  # for a set-up that may have lain here unread for longer than its caller waits
 BARRED_MS = 500.0  # the planners have so long to end the calls of one that is hung up on
 # What a connection may ask for grows with the calls that stood on it: hundreds at once come from no caller
 # whose calls do, and what they ask for costs the booking servers work.
@@ -302,6 +304,15 @@
         elif kind not in ("progress", "released", "pong"):
             raise vocabulary.UnreadableError(f"unknown type {str(kind)[:40]!r}")
 
+    def _unread_ms(self, now_ms: float) -> float:
+        """How long a set-up may have lain here while this process stood still.
+
+        Guards callers from an outcome after they have left: what a set-up has left counts from when it was
+        sent, which it does not say.
+        """
+        standstill = self._clock.standstill
+        return standstill.unread_ms(now_ms) if standstill is not None else 0.0
+
     def _set_up(self, message: dict[str, object], now_ms: float) -> None:
         named = vocabulary.call_id(message)
         with self._lock:
@@ -309,6 +320,9 @@
                 # Which of the two an outcome would be for, nobody could tell.
                 raise OverError(f"two set-ups under the id {named}", foul=True)
         request = vocabulary.set_up_of(message, now_ms, self._house.terms)
+        if (unread_ms := self._unread_ms(now_ms)) > 0.0:
+            least_ms = min(request.expires_ms, now_ms + LEAST_LEFT_MS)
+            request = replace(request, expires_ms=max(least_ms, request.expires_ms - unread_ms))
         with self._lock:
             size = len(request.description)
             taken = len(self._open) < min(MOST_OPEN, OPEN + self._stood) and (
--- a/capershelf/node.py
+++ b/capershelf/node.py
@@ -23,7 +23,7 @@
 from capershelf.net.links import Links
 from capershelf.net.vocabulary import Terms
 from capershelf.net.websocket import WebSocket
-from capershelf.registry.board import Board, read_notices
+from capershelf.registry.board import FRESH_MS, Board, read_notices
 from capershelf.registry.eureka import Eureka
 from capershelf.registry.source import Source
 from capershelf.release import VERSION
@@ -170,6 +170,7 @@
         elif config.board:
             board = Board(config.board, config.known, self.clock, self._news)
             self.sources.append(board)
+            self.clock.find_standstills(FRESH_MS)  # its thread reads the clock more often than this
             for planner in self.planners:
                 planner.list_fresh = board.fresh
         else:  # an operator may list the booking servers in the file
