--- a/tests/peers.py
+++ b/tests/peers.py
@@ -136,12 +136,20 @@
             links.wake(server)  # else each is opened some time later, spread over a fleet's proxies
         self.links = [server.peer() for server in self.servers]
         self.until(lambda: all(known.epoch is not None for known in self.planner._known.values()))
+        self._epochs = {known.id: known.epoch for known in self.planner._known.values()}
 
     def again(self, number: int, name: str = "") -> Peer:
-        """The next connection to that server, now and not when its pause is over."""
+        """The next connection to that server, now and not when its pause is over; the planner knows it."""
+        name = name or f"s{number}"
         self.settle()
-        self.planner.servers.wake(name or f"s{number}")
-        return self.servers[number].peer()
+        self.planner.servers.wake(name)
+        peer = self.servers[number].peer()
+        self.until(lambda: self._epoch(name) not in (None, self._epochs.get(name)))
+        self._epochs[name] = self._epoch(name)
+        return peer
+
+    def _epoch(self, name: str) -> int | None:
+        return known.epoch if (known := self.planner._known.get(name)) is not None else None
 
     def caller(self) -> Peer:
         front = self.node.fronts[1 if self.websocket else 0]
