Profile the latency of a call by stages between the threads, in lab capacity

Change: the role 'latency' runs a real proxy whose methods are wrapped from outside (traced_proxy.py) and stamps each call at nine points, with the monotonic clock and the thread's processor time; untraced runs in turn show what the stamps cost. The caller keeps when it sent and heard each call, process_stats counts voluntary switches, and the pair of callers is a context of its own in proxy_role. Page and record have the role; the page's test asks for it.

Options not taken: a sampling profiler (it names functions, not who waits for whom), cProfile in the proxy (it doubled the module's time).

--- a/lab/capacity/caller.py
+++ b/lab/capacity/caller.py
@@ -40,6 +40,14 @@
         return {f"p{name:g}": round(float(value), 3) for name, value in zip(PERCENTILES, found, strict=True)}
 
 
+@dataclass(slots=True)
+class Placed:
+    """When a call was sent and answered, in nanoseconds of the monotonic clock; 0: not yet."""
+
+    sent_ns: int
+    answered_ns: int = 0
+
+
 class Line:
     """One connection on which calls are placed, to a proxy or to a booking server."""
 
@@ -48,6 +56,7 @@
         self._random = random.Random(1)
         self._waiting: dict[str, Callable[[bool], None]] = {}
         self._number = 0
+        self.placed: dict[str, Placed] = {}
         self._channel = LineChannel(loop, _connect(address), self._line)
 
     @property
@@ -60,6 +69,7 @@
         call = f"{self._number:016x}"
         name = CLASSES[self._number % len(CLASSES)][0]
         self._waiting[call] = done
+        self.placed[call] = Placed(time.monotonic_ns())
         self._channel.send(
             message(
                 "setup",
@@ -80,6 +90,7 @@
     def _line(self, line: bytes) -> None:
         found = json.loads(line)
         if (done := self._waiting.pop(found["id"], None)) is not None:
+            self.placed[found["id"]].answered_ns = time.monotonic_ns()
             done(found["type"] == "answer")
 
 
--- a/lab/capacity/experiment.py
+++ b/lab/capacity/experiment.py
@@ -8,12 +8,21 @@
 from collections.abc import Callable
 from typing import Any
 
-from lab.capacity import control_role, discovery_role, module_role, proxy_role, retry_role, server_role
+from lab.capacity import (
+    control_role,
+    discovery_role,
+    latency_role,
+    module_role,
+    proxy_role,
+    retry_role,
+    server_role,
+)
 
 FORMAT = 1
 
 ROLES: dict[str, Callable[[bool], dict[str, Any]]] = {
     "proxy": proxy_role.experiment,
+    "latency": latency_role.experiment,
     "module": module_role.experiment,
     "server": server_role.experiment,
     "discovery": discovery_role.experiment,
--- a/lab/capacity/page.py
+++ b/lab/capacity/page.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 from typing import Any
 
-from lab.capacity.plan import Figure, Run, figures, over_budget
+from lab.capacity.plan import LATENCY, Figure, Run, figures, over_budget
 
 ROOT = Path(__file__).resolve().parents[2]
 RECORD = ROOT / "docs" / "capacity.json"
@@ -48,6 +48,8 @@
     tables["over budget"] = _over_table(over_budget(found))
     tables["proxy rows"] = _proxy_rows(run)
     tables["retry rows"] = _retry_rows(run)
+    tables["stages"] = _stages(run)
+    tables["latency rows"] = _latency_rows(run)
     tables["run"] = _run_table(run)
     return tables
 
@@ -151,6 +153,60 @@
     ]
 
 
+def _stages(run: Run) -> str:
+    """The stages of a call, the means of the traced rows."""
+    traced = [row["stages"] for row in run.rows(LATENCY) if row["traced"]]
+    rows = [[stages[0]["stage"], *_stage(stages)] for stages in zip(*traced, strict=True)]
+    hand_over = _percentiles([run.roles[LATENCY]["hand_over_ms"]])
+    rows.append(["a hand-over in an idle process", *hand_over, "", ""])
+    return table(("stage", "took, 50 in 100, ms", "99 in 100", "processor, 50 in 100, ms", "99 in 100"), rows)
+
+
+def _stage(repeats: Sequence[dict[str, Any]]) -> list[str]:
+    return [
+        text
+        for key in ("took_ms", "processor_ms")
+        for text in _percentiles([repeat[key] for repeat in repeats])
+    ]
+
+
+def _percentiles(repeats: Sequence[dict[str, float]]) -> list[str]:
+    """The means of both percentiles, empty where nothing was measured."""
+    return [
+        f"{sum(one[name] for one in repeats) / len(repeats):.3f}" if all(repeats) else ""
+        for name in ("p50", "p99")
+    ]
+
+
+def _latency_rows(run: Run) -> str:
+    rows = []
+    for row in run.rows(LATENCY):
+        direct, added = row["single"]["direct"], row["single"]["added"]
+        rows.append(
+            [
+                f"{row['links']} of {row['servers']}",
+                "traced" if row["traced"] else "as it is",
+                f"{direct['p50']:.2f} / {direct['p99']:.2f}",
+                f"{added['p50']:.2f} / {added['p99']:.2f}",
+                f"{row['processor_ms_a_call']:.2f}",
+                f"{row['switches_a_call']:.1f}",
+                f"{row['single']['answered']}, {row['single']['refused']}",
+            ]
+        )
+    return table(
+        (
+            "links",
+            "program",
+            "direct p50 / p99, ms",
+            "added p50 / p99, ms",
+            "processor a call, ms",
+            "threads gone to sleep, a call",
+            "calls answered, refused",
+        ),
+        rows,
+    )
+
+
 def _retry_rows(run: Run) -> str:
     rows = [
         [
--- a/lab/capacity/plan.py
+++ b/lab/capacity/plan.py
@@ -20,6 +20,7 @@
     "control": "followers",
     "retry": "depth",
 }
+LATENCY = "latency"  # a role of one size, in rows with stages
 
 
 class Basis(Enum):
@@ -70,7 +71,7 @@
     """A recorded run with its fits."""
 
     def __init__(self, found: dict[str, Any]) -> None:
-        if lacking := sorted(set(SIZE_KEYS) - set(found.get("roles", {}))):
+        if lacking := sorted({*SIZE_KEYS, LATENCY} - set(found.get("roles", {}))):
             raise MissingRoleError(f"the run has no {', '.join(lacking)}")
         self.found = found
         self.roles: dict[str, Any] = found["roles"]
--- a/lab/capacity/process_stats.py
+++ b/lab/capacity/process_stats.py
@@ -1,24 +1,27 @@
-"""What the system says of a process: processor time, memory, threads and descriptors (Linux's /proc)."""
+"""What the system says of a process: processor time, memory, threads, descriptors, waits (Linux's /proc)."""
 
 from __future__ import annotations
 
+import contextlib
 import os
 from dataclasses import dataclass
 from pathlib import Path
 
 TICKS_S = os.sysconf("SC_CLK_TCK")
 PAGE_MB = os.sysconf("SC_PAGE_SIZE") / 2**20
-NANOSECONDS = 1e9
+VOLUNTARY = "\nvoluntary_ctxt_switches:"
 
 
 @dataclass(frozen=True, slots=True)
 class ProcessStats:
-    """Processor time since its start, resident memory, threads and open descriptors."""
+    """Processor time since its start, resident memory, threads and open descriptors, and how often one of its
+    threads has gone to sleep."""
 
     cpu_s: float
     rss_mb: float
     threads: int
     descriptors: int
+    switches: int
 
 
 def process_stats(pid: int) -> ProcessStats:
@@ -28,4 +31,15 @@
     # Counted from the third field of proc(5): utime is the 14th, stime the 15th, num_threads the 20th.
     cpu_s = (int(fields[11]) + int(fields[12])) / TICKS_S
     resident_pages = int((folder / "statm").read_text().split()[1])
-    return ProcessStats(cpu_s, resident_pages * PAGE_MB, int(fields[17]), len(os.listdir(folder / "fd")))
+    descriptors = len(os.listdir(folder / "fd"))
+    return ProcessStats(cpu_s, resident_pages * PAGE_MB, int(fields[17]), descriptors, _switches(folder))
+
+
+def _switches(folder: Path) -> int:
+    """Voluntary context switches of the threads that live."""
+    count = 0
+    for task in (folder / "task").iterdir():
+        with contextlib.suppress(FileNotFoundError):  # the thread has ended meanwhile
+            status = (task / "status").read_text()
+            count += int(status.partition(VOLUNTARY)[2].split(maxsplit=1)[0])
+    return count
--- a/lab/capacity/proxies.py
+++ b/lab/capacity/proxies.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 from pathlib import Path
 from typing import Any
 
 from lab.capacity import notice_board
-from lab.fleet.processes import Process, free_port
+from lab.fleet.processes import PROGRAM, Process, free_port
 
 HOST = "127.38.0.1"
 FLEET = 1100  # proxies of the whole fleet: waits that grow with group-size are as they will be
@@ -70,8 +71,9 @@
     memory_mb: int,
     descriptors: int,
     extra: dict[str, Any] | None = None,
+    module: Sequence[str] = PROGRAM,
 ) -> tuple[Process, tuple[str, int]]:
-    """A running proxy and the address where callers reach it."""
+    """A running proxy and the address where callers reach it; module: what runs in place of the program."""
     address = HOST, free_port(HOST)
     table = configuration(endpoints, board, f"{address[0]}:{address[1]}", memory_mb, descriptors)
-    return Process(folder, "proxy", table | (extra or {}), []), address
+    return Process(folder, "proxy", table | (extra or {}), [], module), address
--- a/lab/capacity/proxy_role.py
+++ b/lab/capacity/proxy_role.py
@@ -4,6 +4,7 @@
 
 import tempfile
 import time
+from collections.abc import Sequence
 from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
@@ -14,7 +15,7 @@
 from lab.capacity.hollow import HollowProcess
 from lab.capacity.process_stats import ProcessStats, process_stats
 from lab.capacity.proxies import start_proxy
-from lab.fleet.processes import Process
+from lab.fleet.processes import PROGRAM, Process
 
 SIZES = (10, 50, 100, 300, 600, 1100)
 QUICK_SIZES = (4, 8, 12, 16, 20)
@@ -53,7 +54,12 @@
     """A proxy with its hollow booking servers and notice board; ended as a context."""
 
     def __init__(
-        self, servers: int, memory_mb: int, descriptors: int, extra: dict[str, Any] | None = None
+        self,
+        servers: int,
+        memory_mb: int,
+        descriptors: int,
+        extra: dict[str, Any] | None = None,
+        module: Sequence[str] = PROGRAM,
     ) -> None:
         self._folder = tempfile.TemporaryDirectory(prefix="capacity-")
         self.servers = HollowProcess(booking_servers.BookingServers, booking_servers.Options(servers))
@@ -62,7 +68,7 @@
         address = self.board.ask(notice_board.GetAddress())
         self.proxy: Process
         self.proxy, self.address = start_proxy(
-            Path(self._folder.name), self.endpoints, address, memory_mb, descriptors, extra
+            Path(self._folder.name), self.endpoints, address, memory_mb, descriptors, extra, module
         )
 
     def __enter__(self) -> Bench:
@@ -99,6 +105,28 @@
         return links
 
 
+class BothWays:
+    """Callers through the proxy and straight at a booking server, in turn; ended as a context."""
+
+    def __init__(self, bench: Bench) -> None:
+        self._loop = EventLoop()
+        places = len(bench.endpoints)
+        host, _, port = bench.endpoints[0].rpartition(":")
+        self.proxied = Line(self._loop, bench.address, places)
+        self.direct = Line(self._loop, (host, int(port)), places)
+
+    def __enter__(self) -> BothWays:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.proxied.close()
+        self.direct.close()
+
+    def place(self, seconds: float, depth: int = 1) -> list[Latencies]:
+        """Calls at the planned pace for so long; what the proxied and the direct ones took."""
+        return place_calls(self._loop, [self.proxied, self.direct], CALLS_PER_S, seconds, depth)
+
+
 def measure(
     servers: int,
     memory_mb: int,
@@ -112,16 +140,12 @@
         before = bench.sample()
         time.sleep(durations.rest_s)
         rest = rates(before, bench.sample())
-        loop = EventLoop()
-        direct = bench.endpoints[0].rpartition(":")
-        lines = [Line(loop, bench.address, servers), Line(loop, (direct[0], int(direct[2])), servers)]
-        place_calls(loop, lines, CALLS_PER_S, durations.rest_s / 2.0)  # warm
-        before = bench.sample()
-        single = place_calls(loop, lines, CALLS_PER_S, durations.calls_s)
-        calls = rates(before, bench.sample())
-        chains = place_calls(loop, lines, CALLS_PER_S, durations.chains_s, DEPTH)
-        for line in lines:
-            line.close()
+        with BothWays(bench) as callers:
+            callers.place(durations.rest_s / 2.0)  # warm
+            before = bench.sample()
+            single = callers.place(durations.calls_s)
+            calls = rates(before, bench.sample())
+            chains = callers.place(durations.chains_s, DEPTH)
     return {
         "servers": servers,
         "memory_mb": memory_mb,
--- a/lab/fleet/processes.py
+++ b/lab/fleet/processes.py
@@ -8,10 +8,12 @@
 import socket
 import subprocess
 import sys
+from collections.abc import Sequence
 from pathlib import Path
 from typing import Any
 
 ROOT = Path(__file__).resolve().parents[2]
+PROGRAM = ("capershelf",)
 
 
 def free_port(host: str) -> int:
@@ -22,9 +24,16 @@
 
 
 class Process:
-    """One start of `serve`."""
+    """One start of `serve`; module: what Python runs for it, with its first arguments."""
 
-    def __init__(self, folder: Path, name: str, table: dict[str, Any], options: list[str]) -> None:
+    def __init__(
+        self,
+        folder: Path,
+        name: str,
+        table: dict[str, Any],
+        options: list[str],
+        module: Sequence[str] = PROGRAM,
+    ) -> None:
         config = folder / f"{name}.json"
         config.write_text(json.dumps(table))
         self.log = folder / f"{name}.log"
@@ -37,7 +46,7 @@
         }
         with self.log.open("ab") as log:
             self._popen = subprocess.Popen(
-                [sys.executable, "-m", "capershelf", "serve", *options],
+                [sys.executable, "-m", *module, "serve", *options],
                 cwd=folder,
                 env=environ,
                 stdin=subprocess.DEVNULL,
@@ -57,6 +66,10 @@
         """The exit status, None while it runs."""
         return self._popen.poll()
 
+    def wait(self, seconds: float) -> None:
+        """Until it has ended by itself; subprocess.TimeoutExpired where it has not by then."""
+        self._popen.wait(seconds)
+
     def end(self) -> None:
         """Whatever it does: it is gone afterwards."""
         self.signal(signal.SIGCONT)
--- a/tests/test_capacity_page.py
+++ b/tests/test_capacity_page.py
@@ -20,10 +20,14 @@
 def test_the_run_is_a_full_one_of_all_roles() -> None:
     found = json.loads(page.RECORD.read_text())
     assert found["quick"] is False and set(found["roles"]) == set(ROLES)
-    for role, rows in ((role, found["roles"][role]["rows"]) for role in ROLES):
+    assert set(ROLES) - set(plan.SIZE_KEYS) == {plan.LATENCY}
+    for role, rows in ((role, found["roles"][role]["rows"]) for role in plan.SIZE_KEYS):
         sizes = {row[plan.SIZE_KEYS[role]] for row in rows}
         assert len(sizes) >= 5, role
         assert max(sizes) == (requirements.DEPTH if role == "retry" else requirements.SERVERS)
+    rows = found["roles"][plan.LATENCY]["rows"]
+    assert {row["servers"] for row in rows} == {requirements.SERVERS}
+    assert [row["traced"] for row in rows] == [False, True] * (len(rows) // 2) and len(rows) >= 4
 
 
 def test_a_page_that_asks_for_no_table_or_lacks_a_role_is_refused() -> None:
