Name the estimates and the cold budget's tokens as the field does

Change, names only: the package sight is estimation, with cold_budget, fleet_estimates and server_rates; Sight is FleetEstimates, Seen ServerEstimate, Terms Timing, Size Capacity, Flow ArrivalRate, Turns ColdTokens; their methods say what they do (take_report, note_wait, first_choice_share, reroute_weight, sheds, available, use).

The whole suite passed.

--- a/capershelf/control.py
+++ b/capershelf/control.py
@@ -16,7 +16,7 @@
     NewCall, NewSettings, Probe, Recalled, Refuse, Report, Result, Send, ServerList, ServerReport,
     SetTimer, Settings, Standing, Stands, TimerFired, WayMended, Why,
 )
-from capershelf.sight import RATE_MS, Quotas, Rate, Sight, Terms, Turns
+from capershelf.estimation import RATE_MS, ColdTokens, FleetEstimates, Quotas, Rate, Timing
 
 # The detector, as the paper and the design page have it.
 RATIO = 1.2  # sent over answered above this, judged each interval, sets the overload flag
@@ -125,7 +125,7 @@
         self.pressed_ms = -math.inf  # when its wait was last over the limit, or it was silent
         self.free_lines: float | None = None
         self.lines = 0.0
-        self.turns = Turns(0, 1, 0.0, 1.0)  # this sender's at it while it is cold
+        self.tokens = ColdTokens(0, 1, 0.0, 1.0)  # this sender's for it while it is cold
         self.sender_share = listed.sender_share
         self.answered_at: deque[float] = deque()
         self.errors: set[str] = set()  # numbers that failed there, and not elsewhere, since the last success
@@ -213,7 +213,7 @@
         self.random = random.Random(seed)
         self.gates: dict[str, Gate] = {}
         self.quotas = Quotas(settings.gateway_count)
-        self.sight = Sight()
+        self.estimates = FleetEstimates()
         self.adopt(settings)
         self.version = -1
         self.calls: dict[int, Call] = {}
@@ -240,7 +240,7 @@
         resend_ms = settings.resend_ms if settings.resend_ms > 0 else math.inf
         aim_ms = min(kind.aim_ms for kind in settings.classes)
         self.limit_ms = WAIT_SHARE * min(1.5 * resend_ms, aim_ms)
-        self.sight.terms = Terms(aim_ms, settings.cold_from, settings.ramp_ms)
+        self.estimates.timing = Timing(aim_ms, settings.cold_from, settings.ramp_ms)
         # Times that belong to the aims are written for one limit, and go with that of the settings.
         self.scale = self.limit_ms / WRITTEN_FOR_MS
         self.ask_ms = max(self.scale * TRIAL_MS, settings.gateway_count * 1000.0 / PROBES_S)
@@ -309,8 +309,8 @@
         call = Call(event, kind, self.now_ms)
         self.calls[call.id] = self.held[call.id] = call
         self.rate_worth(call, event.tenant)
-        self.sight.call(self.now_ms, kind.hold_ms, call.weight, call.worth)
-        if self.sight.refused(self.now_ms, call.worth, drawn(call, 0)):
+        self.estimates.note_call(self.now_ms, kind.hold_ms, call.weight, call.worth)
+        if self.estimates.sheds(self.now_ms, call.worth, drawn(call, 0)):
             self.answer(call, Refuse(call.id))
 
     def out_at(self, gate: Gate | None, event: Stands | AttemptOver) -> Call | None:
@@ -328,7 +328,7 @@
         gate.base_ms = min(gate.base_ms, event.wait_ms)
         if self.woke_ms < self.now_ms or event.wait_ms - gate.base_ms <= self.limit_ms:
             gate.news(self.now_ms, event.wait_ms - gate.base_ms, NEWS_WEIGHT)
-            self.sight.waited(self.now_ms, gate.id, event.wait_ms - gate.base_ms)
+            self.estimates.note_wait(self.now_ms, gate.id, event.wait_ms - gate.base_ms)
         gate.heard_ms = self.now_ms
         gate.passed_ms = max(gate.passed_ms, call.sent_ms)
         gate.answered_at.append(self.now_ms)
@@ -362,7 +362,7 @@
             # At least so long; not longer than it was given, whenever this gateway came to see it.
             gate.seen_wait_ms = max(gate.seen(self.now_ms), min(self.now_ms - call.sent_ms, call.timeout_ms))
             gate.seen_at_ms = self.now_ms
-            self.sight.waited(self.now_ms, gate.id, self.now_ms - call.sent_ms)
+            self.estimates.note_wait(self.now_ms, gate.id, self.now_ms - call.sent_ms)
         if event.result in (Result.TIMEOUT, Result.RESET, Result.CANCELLED):
             call.ready_ms = self.now_ms + self.settings.release_ms
             # It was out, not held: what is left of its aim after the release is worth a try.
@@ -433,7 +433,7 @@
             if (gate := self.gates.get(listed.server)) is None:
                 rank = zlib.crc32(f"{self.settings.gateway_no}/{listed.server}".encode())
                 self.gates[listed.server] = gate = Gate(listed, rank, OVERTAKEN * self.limit_ms)
-                gate.turns = self.turns(gate)
+                gate.tokens = self.cold_tokens(gate)
                 gate.probed_ms = self.now_ms - self.random.random() * self.ask_ms
                 if (learned := self.recalled.pop(gate.id, None)) is not None:
                     gate.recall(learned)
@@ -446,13 +446,14 @@
             if listed.started_ms != gate.started_ms or came_back:
                 gate.started_ms = listed.started_ms or (self.now_ms if came_back else None)
                 gate.silent, gate.free_lines, gate.seen_wait_ms, gate.usual_rate = False, None, 0.0, 0.0
-                gate.turns = self.turns(gate)
+                gate.tokens = self.cold_tokens(gate)
         for gate in self.gates.values():
             gone = gate.standing is Standing.GONE
             gate.gone_ms = min(gate.gone_ms, self.now_ms) if gone else math.inf
         kept = (g for g in self.gates.values() if g.out or self.now_ms - g.gone_ms < GONE_MS)
         self.gates = {gate.id: gate for gate in sorted(kept, key=lambda gate: gate.rank)}
-        self.sight.list((g.id, g.standing is Standing.ACTIVE, g.started_ms) for g in self.gates.values())
+        servers = self.gates.values()
+        self.estimates.update_servers((g.id, g.standing is Standing.ACTIVE, g.started_ms) for g in servers)
         self.at_place = {}
         for gate in self.gates.values():
             self.at_place.setdefault(gate.place, []).append(gate)
@@ -462,9 +463,9 @@
             return
         if report.free_lines is not None:
             gate.free_lines, gate.lines = report.free_lines, report.lines or gate.lines
-        self.sight.told(self.now_ms, gate.id, report.free_lines, report.lines, report.takes_per_s)
+        self.estimates.take_report(self.now_ms, gate.id, report.free_lines, report.lines, report.takes_per_s)
         gate.fade_ms = math.inf
-        if self.sight.known(gate.id):  # by this sender's own gaps: what it sends there next tells it more
+        if self.estimates.load_known(gate.id):  # by this sender's own gaps: its next send tells it more
             gate.fade_ms = self.scale * FADE_MS + 1.0 / max(1e-6, self.part(gate) * self.asked_rate())
         if report.wait_ms is not None:
             gate.news(self.now_ms, report.wait_ms, NEWS_WEIGHT)
@@ -580,16 +581,16 @@
     def part(self, gate: Gate) -> float:
         """The server's part of what all can do.  Guards against small servers crushed by calls led around to
         them as if all were of one size."""
-        return self.sight.share(gate.id)
+        return self.estimates.share(gate.id)
 
     def watch(self, gate: Gate, clear: Gate | None) -> Gate | None:
         """Take a server for silent when set-ups go unanswered (hung, stopped, cut off); clear: any such."""
         self.look(gate)
         base_ms = gate.base_ms if gate.base_ms < math.inf else self.limit_ms
         silent_ms = SILENT_FACTOR * self.limit_ms + SLOW_FACTOR * base_ms
-        if gate.lives(self.now_ms) and self.sight.wait_ms(self.now_ms) > ELSEWHERE * self.limit_ms:
+        if gate.lives(self.now_ms) and self.estimates.usual_wait_ms(self.now_ms) > ELSEWHERE * self.limit_ms:
             # It is slow, not silent, and so are the others: what waits is answered sooner than if sent again.
-            silent_ms = max(silent_ms, self.sight.terms.aim_ms)
+            silent_ms = max(silent_ms, self.estimates.timing.aim_ms)
         oldest_ms = call.sent_ms if (call := gate.oldest()) is not None else self.now_ms
         silence = self.now_ms - max(oldest_ms, gate.heard_ms, self.woke_ms) > silent_ms
         if silence and not gate.silent:
@@ -630,10 +631,10 @@
     def way(self, call: Call, gate: Gate) -> tuple[bool, float]:
         """Where the server stands among the call's ways round, least first; drawn once, by size and room: no
         herd, no crowd at small servers.  Without sizes the draw is the sender's: its hash order.
-        Before all warm ones comes a cold one where it is this sender's turn: a turn can't be kept."""
-        lot = drawn(call, gate.rank) if self.sight.most_lines > 0 else 1.0 - gate.rank / 2**32
+        Before all warm ones comes a cold one that this sender has a token for: it can't be kept."""
+        lot = drawn(call, gate.rank) if self.estimates.most_lines > 0 else 1.0 - gate.rank / 2**32
         room = max(0.05, 1.0 - gate.seen(self.now_ms) / self.limit_ms)
-        far = -math.log(lot) / max(1e-9, self.sight.weight(self.now_ms, gate.id) * room)
+        far = -math.log(lot) / max(1e-9, self.estimates.reroute_weight(self.now_ms, gate.id) * room)
         return self.warmth(gate) >= 1.0, far
 
     def place(self, call: Call, clear: dict[str, Gate] | None = None) -> Gate | None:
@@ -644,7 +645,7 @@
         for gate in self.at_place.get(call.far_end, ()):
             if self.takes(gate, call) and (clear is None or gate.id in clear):
                 if self.open(gate):
-                    if drawn(call, gate.rank) > self.sight.chance(self.now_ms, gate.id):
+                    if drawn(call, gate.rank) > self.estimates.first_choice_share(self.now_ms, gate.id):
                         first = gate  # all together have more for it than it can do: this call goes round
                         continue
                     return gate if self.send(call, gate) else None
@@ -691,19 +692,18 @@
             return math.inf
         return (self.now_ms - gate.started_ms) / self.settings.ramp_ms
 
-    def turns(self, gate: Gate) -> Turns:
-        """From its start, or from when it is heard of: a gateway that has just started begins with none.
-        Whose turn is first differs from server to server."""
+    def cold_tokens(self, gate: Gate) -> ColdTokens:
+        """None yet: a gateway that has just started has none.  Who gets the first differs between servers."""
         slot = self.settings.gateway_no + zlib.crc32(gate.id.encode())
         settings, share = self.settings, gate.sender_share
-        return Turns(slot, settings.gateway_count, self.now_ms, settings.fall_multiple, share)
+        return ColdTokens(slot, settings.gateway_count, self.now_ms, settings.fall_multiple, share)
 
     def in_cold_budget(self, gate: Gate) -> bool:
-        """Rule 4: whether it is this gateway's turn at a cold server (sight/cold.py)."""
+        """Rule 4: whether this gateway has a token for a cold server (estimation/cold_budget.py)."""
         if (age := self.warmth(gate)) >= 1.0:
             return True
         part = self.settings.cold_from + (1.0 - self.settings.cold_from) * max(0.0, age) ** 2
-        if (carries := self.sight.carries(gate.id)) is not None:
+        if (carries := self.estimates.sure_per_s(gate.id)) is not None:
             able = carries / 1000.0
         else:
             # What it does for this sender, its part of the answers or of what is asked for if none came, for
@@ -712,7 +712,7 @@
             rate *= self.part(gate) * self.settings.gateway_count * gate.sender_share
             able = max(rate, SURE_SENDS / (self.settings.fall_multiple * part * self.settings.fall_ms))
         per_ms = self.settings.fall_multiple * part * able
-        return gate.turns.open(self.now_ms, per_ms, self.settings.fall_ms)
+        return gate.tokens.available(self.now_ms, per_ms, self.settings.fall_ms)
 
     def send(self, call: Call, gate: Gate) -> bool:
         """The one way out for an attempt; False if a rule forbids it now."""
@@ -731,14 +731,14 @@
         call.server, call.sent_ms, call.cancelled = gate.id, self.now_ms, False
         call.attempts += 1
         gate.out[call.id] = call
-        self.sight.out[call.id] = self.now_ms
+        self.estimates.in_flight[call.id] = self.now_ms
         gate.outstanding += call.weight
         gate.in_load += call.weight
         gate.set_ups += 1
         if gate.free_lines is not None:
             gate.free_lines = max(0.0, gate.free_lines - call.weight)  # until the next report
         gate.tried_ms = self.now_ms
-        begin_by_ms = gate.turns.take() if self.warmth(gate) < 1.0 else math.inf
+        begin_by_ms = gate.tokens.use() if self.warmth(gate) < 1.0 else math.inf
         # Calls that waited pass a cleared gate at a pace: twice that of its answers near the threshold, more
         # the less it waits.  Guards a server that has just recovered from the queues of all senders.
         load = gate.wait_ms(self.now_ms, self.woke_ms) / self.limit_ms
@@ -766,7 +766,7 @@
 
     def take_back(self, call: Call, gate: Gate) -> None:
         gate.out.pop(call.id, None)
-        self.sight.out.pop(call.id, None)
+        self.estimates.in_flight.pop(call.id, None)
         gate.outstanding = max(0.0, gate.outstanding - call.weight)
         call.server = None
 
--- a/capershelf/sight/fleet.py
+++ b/capershelf/estimation/fleet_estimates.py
@@ -12,8 +12,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from capershelf.sight.estimates import SPAN_MS, Flow, Size
-from capershelf.sight.rates import Rate
+from capershelf.estimation.server_rates import SPAN_MS, ArrivalRate, Capacity
+from capershelf.estimation.rates import Rate
 
 LEVEL = 0.5  # mean wait at the target load, of the least aim
 NOW_MS = 3000.0  # a telling stands so long, fading, before the usual size is believed again
@@ -40,7 +40,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Terms:
+class Timing:
     """What the settings tell of times."""
 
     aim_ms: float  # the least
@@ -49,33 +49,33 @@
 
 
 @dataclass(slots=True)
-class Seen:
+class ServerEstimate:
     """One booking server."""
 
     lines: float = 0.0
     active: bool = True
     started_ms: float | None = None
-    size: Size = field(default_factory=Size)
-    flow: Flow = field(default_factory=Flow)
+    capacity: Capacity = field(default_factory=Capacity)
+    arrivals: ArrivalRate = field(default_factory=ArrivalRate)
     free: float | None = None
     price: float = 0.0  # how far it is over its target, summed up over time
     push: float = 0.0  # and as it was last seen
-    own: float = 0.0  # by the waits that this sender saw itself
-    own_ms: float = -math.inf
+    own_price: float = 0.0  # by the waits that this sender saw itself
+    own_price_ms: float = -math.inf
 
 
-def _per_line(servers: list[Seen]) -> float | None:
+def _per_line(servers: list[ServerEstimate]) -> float | None:
     """Set-ups a second for each line, over these servers."""
-    lines = sum(seen.lines for seen in servers)
-    return sum(seen.size.per_s or 0.0 for seen in servers) / lines if lines > 0 else None
+    lines = sum(estimate.lines for estimate in servers)
+    return sum(estimate.capacity.per_s or 0.0 for estimate in servers) / lines if lines > 0 else None
 
 
-class Sight:
+class FleetEstimates:
     """Estimates of all booking servers for one sender."""
 
     def __init__(self) -> None:
-        self.terms = Terms(math.inf, 1.0, 1.0)
-        self.servers: dict[str, Seen] = {}
+        self.timing = Timing(math.inf, 1.0, 1.0)
+        self.servers: dict[str, ServerEstimate] = {}
         self.most_servers = 1
         self.most_lines = 0.0  # of all active servers together, at most
         self.ratio: float | None = None  # set-ups a second for each line, over the servers that have told
@@ -86,25 +86,25 @@
         self.worths: dict[float, float] = {}  # how much was asked of each worth, fading
         self.asked_over, self.loads_known = 0.0, False
         self.waits: deque[tuple[float, float]] = deque(maxlen=MOST_WAITS)  # (when seen, how long)
-        self.out: dict[int, float] = {}  # set-ups that are out, and when they were sent
+        self.in_flight: dict[int, float] = {}  # set-ups that are out, and when they were sent
         self.looked_ms = -math.inf
 
     # -- what comes in --------------------------------------------------------------------------------
-    def list(self, servers: Iterable[tuple[str, bool, float | None]]) -> None:
+    def update_servers(self, servers: Iterable[tuple[str, bool, float | None]]) -> None:
         """The list as it stands: server, whether it is active, and when its process started."""
-        named: dict[str, Seen] = {}
+        named: dict[str, ServerEstimate] = {}
         for server, active, started_ms in servers:
-            seen = self.servers.get(server) or Seen(started_ms=started_ms)
-            if started_ms != seen.started_ms:
-                seen.started_ms, seen.price, seen.push, seen.free = started_ms, 0.0, 0.0, None
-                seen.flow.forget()
-            seen.active = active
-            named[server] = seen
+            estimate = self.servers.get(server) or ServerEstimate(started_ms=started_ms)
+            if started_ms != estimate.started_ms:
+                estimate.started_ms, estimate.price, estimate.push, estimate.free = started_ms, 0.0, 0.0, None
+                estimate.arrivals.forget()
+            estimate.active = active
+            named[server] = estimate
         self.servers = named
-        self.most_servers = max(self.most_servers, sum(1 for seen in named.values() if seen.active))
+        self.most_servers = max(self.most_servers, sum(1 for estimate in named.values() if estimate.active))
         self._sizes()
 
-    def call(self, now_ms: float, hold_ms: float | None, width: float, worth: float) -> None:
+    def note_call(self, now_ms: float, hold_ms: float | None, width: float, worth: float) -> None:
         """A call that is asked for, with the mean length of its class where the settings tell it."""
         self.asked_rate.add(now_ms)
         self.asked = min(self.asked + 1.0, 500.0)
@@ -116,7 +116,7 @@
             self.worths = {key: 0.99 * count for key, count in self.worths.items() if count > 0.05}
         self.worths[worth] = self.worths.get(worth, 0.0) + 1.0
 
-    def told(
+    def take_report(
         self,
         now_ms: float,
         server: str,
@@ -125,51 +125,51 @@
         per_s: float | None,
     ) -> None:
         """A report of the server's, asked for or not."""
-        if (seen := self.servers.get(server)) is None:
+        if (estimate := self.servers.get(server)) is None:
             return
         if per_s is not None:
-            seen.size.told(now_ms, per_s / self.warmth(now_ms, seen))
-        if lines is not None and lines != seen.lines and free is not None:
-            seen.lines = lines
+            estimate.capacity.report(now_ms, per_s / self.warmth(now_ms, estimate))
+        if lines is not None and lines != estimate.lines and free is not None:
+            estimate.lines = lines
             self._sizes()
         elif per_s is not None:
             self._ratio()
         if free is None:
             return
-        seen.free = free
-        before_ms = seen.flow.at_ms
-        taken = max(0.0, seen.lines - free)
-        if self.hold_ms > 0.0 and seen.flow.told(now_ms, taken, self.hold_ms, self.width):
-            self._price(now_ms, server, seen, now_ms - before_ms)
+        estimate.free = free
+        before_ms = estimate.arrivals.at_ms
+        taken = max(0.0, estimate.lines - free)
+        if self.hold_ms > 0.0 and estimate.arrivals.report(now_ms, taken, self.hold_ms, self.width):
+            self._price(now_ms, server, estimate, now_ms - before_ms)
 
-    def waited(self, now_ms: float, server: str, wait_ms: float) -> None:
+    def note_wait(self, now_ms: float, server: str, wait_ms: float) -> None:
         """A wait seen at a server, at the least: of a set-up given up on, its age."""
-        usual_ms = SHED_FROM * self.terms.aim_ms
-        if (seen := self.servers.get(server)) is not None:
-            own = self.own(now_ms, server, seen)
+        usual_ms = SHED_FROM * self.timing.aim_ms
+        if (estimate := self.servers.get(server)) is not None:
+            own = self.own_price(now_ms, server, estimate)
             late = wait_ms / usual_ms - 1.0
             own = min(OWN_MOST, own + min(OWN_STEP, late)) if late > 0.0 else max(0.0, own - OWN_REST)
-            seen.own, seen.own_ms = own, now_ms
+            estimate.own_price, estimate.own_price_ms = own, now_ms
         self.waits.append((now_ms, max(0.0, wait_ms)))
 
-    def wait_ms(self, now_ms: float) -> float:
+    def usual_wait_ms(self, now_ms: float) -> float:
         """The wait of now at most servers: under it are SHED_PART of those seen lately and of what is out.
 
         Not the mean: a few crushed servers, where much is out for long, say nothing of all the others.
         """
         while self.waits and self.waits[0][0] < now_ms - POOLED_MS:
             self.waits.popleft()
-        ages = [now_ms - at_ms for at_ms in self.out.values()]
+        ages = [now_ms - at_ms for at_ms in self.in_flight.values()]
         found = sorted([wait_ms for _, wait_ms in self.waits] + ages)
         return found[int(SHED_PART * len(found))] if len(found) >= LEAST_WAITS else 0.0
 
-    def own(self, now_ms: float, server: str, seen: Seen) -> float:
+    def own_price(self, now_ms: float, server: str, estimate: ServerEstimate) -> float:
         """The price by this sender's own waits there; it fades in so many of its usual gaps, for it learns by
         what it sends: where hundreds send seldom, all would come back before one has learned anything."""
-        if seen.own <= 0.0:
+        if estimate.own_price <= 0.0:
             return 0.0
         gap_ms = 1.0 / max(1e-6, self.share(server) * self.asked_rate.value(now_ms))
-        return seen.own * math.exp((seen.own_ms - now_ms) / (OWN_MS + OWN_GAPS * gap_ms))
+        return estimate.own_price * math.exp((estimate.own_price_ms - now_ms) / (OWN_MS + OWN_GAPS * gap_ms))
 
     # -- sizes ----------------------------------------------------------------------------------------
     def _sizes(self) -> None:
@@ -178,24 +178,24 @@
         self._ratio()
 
     def _ratio(self) -> None:
-        known = [s for s in self.servers.values() if s.lines > 0 and s.size.per_s is not None]
-        self.ratio = _per_line([seen for seen in known if seen.active])
+        known = [s for s in self.servers.values() if s.lines > 0 and s.capacity.per_s is not None]
+        self.ratio = _per_line([estimate for estimate in known if estimate.active])
         of_any = self.ratio if self.ratio is not None else _per_line(known)
         self.any_ratio = of_any if of_any is not None else self.any_ratio
 
-    def per_s(self, seen: Seen) -> float | None:
+    def per_s(self, estimate: ServerEstimate) -> float | None:
         """Set-ups a second that it can do warm; by its lines where it has not told, None if neither."""
-        if seen.size.per_s is not None:
-            return seen.size.per_s
-        return seen.lines * self.ratio if seen.lines > 0 and self.ratio is not None else None
+        if estimate.capacity.per_s is not None:
+            return estimate.capacity.per_s
+        return estimate.lines * self.ratio if estimate.lines > 0 and self.ratio is not None else None
 
-    def carries(self, server: str) -> float | None:
+    def sure_per_s(self, server: str) -> float | None:
         """Set-ups a second that it can surely do, warm: by what it told, or by what others of its size told
         or, where none tells, carry; None where nothing is seen of any."""
-        seen = self.servers[server]
-        if seen.size.per_s is not None:
-            return seen.size.per_s / (1.0 + seen.size.error)
-        lines = seen.lines or self.least_lines
+        estimate = self.servers[server]
+        if estimate.capacity.per_s is not None:
+            return estimate.capacity.per_s / (1.0 + estimate.capacity.error)
+        lines = estimate.lines or self.least_lines
         if lines <= 0.0:
             return None
         if self.any_ratio is not None:
@@ -203,128 +203,134 @@
         others = [
             one
             for one in self.servers.values()
-            if one is not seen and one.active and one.lines > 0.0 and one.flow.per_s is not None
+            if one is not estimate and one.active and one.lines > 0.0 and one.arrivals.per_s is not None
         ]
-        carried = sum(one.flow.per_s or 0.0 for one in others)
+        carried = sum(one.arrivals.per_s or 0.0 for one in others)
         return lines * carried / sum(one.lines for one in others) if carried > 0.0 else None
 
     def share(self, server: str) -> float:
         """The server's part of what all can do: by what they told, by their lines, or all alike."""
-        seen = self.servers[server]
+        estimate = self.servers[server]
         if self.most_lines <= 0.0:
             return 1.0 / self.most_servers
-        if seen.size.per_s is not None and self.ratio is not None:
-            most = seen.lines / self.hold_ms * 1000.0 if self.hold_ms > 0.0 and seen.lines > 0.0 else math.inf
-            return min(seen.size.per_s, most) / self.ratio / self.most_lines
-        lines = seen.lines or self.least_lines
+        if estimate.capacity.per_s is not None and self.ratio is not None:
+            most = (
+                estimate.lines / self.hold_ms * 1000.0
+                if self.hold_ms > 0.0 and estimate.lines > 0.0
+                else math.inf
+            )
+            return min(estimate.capacity.per_s, most) / self.ratio / self.most_lines
+        lines = estimate.lines or self.least_lines
         return lines / self.most_lines if lines > 0 else 1.0 / self.most_servers
 
-    def warmth(self, now_ms: float, seen: Seen) -> float:
+    def warmth(self, now_ms: float, estimate: ServerEstimate) -> float:
         """Part of its warm speed that a server has at least."""
-        if seen.started_ms is None:
+        if estimate.started_ms is None:
             return 1.0
-        age = max(0.0, (now_ms - seen.started_ms) / self.terms.ramp_ms)
-        return min(1.0, self.terms.cold_from + (1.0 - self.terms.cold_from) * age)
+        age = max(0.0, (now_ms - estimate.started_ms) / self.timing.ramp_ms)
+        return min(1.0, self.timing.cold_from + (1.0 - self.timing.cold_from) * age)
 
     # -- how pressed ----------------------------------------------------------------------------------
-    def target(self, now_ms: float, seen: Seen) -> float | None:
+    def target(self, now_ms: float, estimate: ServerEstimate) -> float | None:
         """Set-ups a second that the server should get from all: so many that its mean wait stays at LEVEL.
 
         A processor with one line and equal work waits s * u / (2 - 2u) at a load of u; s is a set-up's work.
         """
-        if (per_s := self.per_s(seen)) is None:
+        if (per_s := self.per_s(estimate)) is None:
             return None
-        warm = per_s * self.warmth(now_ms, seen)
+        warm = per_s * self.warmth(now_ms, estimate)
         work_ms = 1000.0 / warm
-        most = warm * (1.0 - work_ms / (2.0 * LEVEL * self.terms.aim_ms + work_ms))
-        if self.hold_ms > 0.0 and seen.lines > 0.0:
-            most = min(most, seen.lines / self.hold_ms * 1000.0)  # no more can stand there
-        told = seen.size.told_per_s * self.warmth(now_ms, seen)
+        most = warm * (1.0 - work_ms / (2.0 * LEVEL * self.timing.aim_ms + work_ms))
+        if self.hold_ms > 0.0 and estimate.lines > 0.0:
+            most = min(most, estimate.lines / self.hold_ms * 1000.0)  # no more can stand there
+        told = estimate.capacity.told_per_s * self.warmth(now_ms, estimate)
         if told < most:
-            most -= (most - told) * math.exp((seen.size.told_ms - now_ms) / NOW_MS)
+            most -= (most - told) * math.exp((estimate.capacity.told_ms - now_ms) / NOW_MS)
         return most
 
-    def _price(self, now_ms: float, server: str, seen: Seen, span_ms: float) -> None:
-        target = self.target(now_ms, seen)
-        if target is None or seen.flow.per_s is None or seen.flow.error() > 1.0:
+    def _price(self, now_ms: float, server: str, estimate: ServerEstimate, span_ms: float) -> None:
+        target = self.target(now_ms, estimate)
+        if target is None or estimate.arrivals.per_s is None or estimate.arrivals.error() > 1.0:
             return
         # Set-ups that are given up free their lines: a jam looks idle by what changes, not by what is taken.
-        usual = min(HELD_MOST * target, (seen.lines - (seen.free or 0.0)) / self.hold_ms * 1000.0)
-        off = math.log(max(0.05, max(seen.flow.per_s, usual) / max(target, 0.1)))
-        error = seen.size.error if seen.size.per_s is not None else LINES_ERROR
-        seen.push = math.copysign(max(0.0, abs(off) - error), off)  # within its error nothing is known
-        if self.own(now_ms, server, seen) > OWN_DOUBT:
-            seen.push = max(0.0, seen.push)
-        price = seen.price + seen.push * min(span_ms, 2000.0) / PRICE_MS
-        seen.price = min(MOST_PRICE, max(LEAST_PRICE, price))
+        usual = min(HELD_MOST * target, (estimate.lines - (estimate.free or 0.0)) / self.hold_ms * 1000.0)
+        off = math.log(max(0.05, max(estimate.arrivals.per_s, usual) / max(target, 0.1)))
+        error = estimate.capacity.error if estimate.capacity.per_s is not None else LINES_ERROR
+        estimate.push = math.copysign(max(0.0, abs(off) - error), off)  # within its error nothing is known
+        if self.own_price(now_ms, server, estimate) > OWN_DOUBT:
+            estimate.push = max(0.0, estimate.push)
+        price = estimate.price + estimate.push * min(span_ms, 2000.0) / PRICE_MS
+        estimate.price = min(MOST_PRICE, max(LEAST_PRICE, price))
         if now_ms - self.looked_ms >= SPAN_MS:
             self.looked_ms, self.asked_over = now_ms, self._asked(now_ms)
 
     def _asked(self, now_ms: float) -> float:
         """Natural logarithm of what all are asked over what all can take; 0 where most are not known."""
         asked = able = lines = known = 0.0
-        for seen in self.servers.values():
-            if not seen.active or seen.lines <= 0:
+        for estimate in self.servers.values():
+            if not estimate.active or estimate.lines <= 0:
                 continue
-            lines += seen.lines
-            target = self.target(now_ms, seen)
-            if target is None or seen.flow.per_s is None or now_ms - seen.flow.at_ms > NOW_MS:
+            lines += estimate.lines
+            target = self.target(now_ms, estimate)
+            if target is None or estimate.arrivals.per_s is None or now_ms - estimate.arrivals.at_ms > NOW_MS:
                 continue
-            known += seen.lines
-            asked += seen.flow.per_s
+            known += estimate.lines
+            asked += estimate.arrivals.per_s
             # A server with no line left takes what ends.
-            able += min(target, seen.flow.per_s + (seen.free or 0.0) / self.width)
+            able += min(target, estimate.arrivals.per_s + (estimate.free or 0.0) / self.width)
         self.loads_known = known > LEAST_KNOWN * lines and min(asked, able) > 0.0
         return math.log(asked / able) if self.loads_known else 0.0
 
-    def sized(self, server: str) -> bool:
+    def capacity_known(self, server: str) -> bool:
         """Whether it has told what it can do."""
-        return self.servers[server].size.per_s is not None
+        return self.servers[server].capacity.per_s is not None
 
-    def known(self, server: str) -> bool:
+    def load_known(self, server: str) -> bool:
         """Whether the server's load stands on enough to go by."""
-        seen = self.servers[server]
-        return seen.flow.per_s is not None and self.per_s(seen) is not None
+        estimate = self.servers[server]
+        return estimate.arrivals.per_s is not None and self.per_s(estimate) is not None
 
-    def chance(self, now_ms: float, server: str) -> float:
+    def first_choice_share(self, now_ms: float, server: str) -> float:
         """The part of the calls for this server that it should get; 1 where nothing speaks against it."""
-        seen = self.servers[server]
-        if not self.known(server):
+        estimate = self.servers[server]
+        if not self.load_known(server):
             return 1.0
-        price = max(0.0, seen.price) + AT_ONCE * max(0.0, seen.push)
-        lines = min(1.0, ENDING * ((seen.free or 0.0) > 0.0) + self._lines(seen))
-        return math.exp(-max(price, self.own(now_ms, server, seen))) * lines
+        price = max(0.0, estimate.price) + AT_ONCE * max(0.0, estimate.push)
+        lines = min(1.0, ENDING * ((estimate.free or 0.0) > 0.0) + self._lines(estimate))
+        return math.exp(-max(price, self.own_price(now_ms, server, estimate))) * lines
 
-    def weight(self, now_ms: float, server: str) -> float:
+    def reroute_weight(self, now_ms: float, server: str) -> float:
         """Its weight among those that calls may be led around to: what it can do, less where pressed."""
-        seen = self.servers[server]
-        if not self.known(server):
+        estimate = self.servers[server]
+        if not self.load_known(server):
             return self.share(server)
-        price = max(seen.price + AT_ONCE * seen.push, self.own(now_ms, server, seen) or -math.inf)
-        return self.share(server) * math.exp(-price) * self._lines(seen)
+        price = max(
+            estimate.price + AT_ONCE * estimate.push, self.own_price(now_ms, server, estimate) or -math.inf
+        )
+        return self.share(server) * math.exp(-price) * self._lines(estimate)
 
-    def _lines(self, seen: Seen) -> float:
+    def _lines(self, estimate: ServerEstimate) -> float:
         """Free lines against what comes until the next telling: few are shared out among all senders."""
-        if seen.free is None or seen.flow.per_s is None:
+        if estimate.free is None or estimate.arrivals.per_s is None:
             return 1.0
-        coming = seen.flow.per_s * self.width * USUAL_TELL_MS / 1000.0
-        return min(1.0, seen.free / max(1.0, RESERVE * coming))
+        coming = estimate.arrivals.per_s * self.width * USUAL_TELL_MS / 1000.0
+        return min(1.0, estimate.free / max(1.0, RESERVE * coming))
 
-    def over(self, now_ms: float) -> float:
+    def overload(self, now_ms: float) -> float:
         """The part of what is asked for that is more than all can take in time.
 
         By the wait of all, which grows with what was too much before, and by what comes now: the first alone
         would answer late, the second alone would never work off what waits.
         """
-        part = self.wait_ms(now_ms) / self.terms.aim_ms
+        part = self.usual_wait_ms(now_ms) / self.timing.aim_ms
         if part < SHED_FROM / 2.0:
             return 0.0  # lines that fill up, as at the start of all, are no overload
         late = (part - (SHED_FROM if self.loads_known else SHED_UNKNOWN)) / SHED_OVER
         return min(MOST_SHED, max(0.0, late + SHED_ASKED * max(0.0, self.asked_over)))
 
-    def refused(self, now_ms: float, worth: float, drawn: float) -> bool:
+    def sheds(self, now_ms: float, worth: float, drawn: float) -> bool:
         """Whether a call of this worth is more than all can take, least worth first; drawn: its own lot."""
-        if (over := self.over(now_ms)) <= 0.0:
+        if (over := self.overload(now_ms)) <= 0.0:
             return False
         total = sum(self.worths.values())
         below = sum(count for key, count in self.worths.items() if key < worth)
--- a/capershelf/sight/estimates.py
+++ b/capershelf/estimation/server_rates.py
@@ -19,7 +19,7 @@
 DRIFT = 0.04  # square of the part by which a flow may move in a second
 
 
-class Size:
+class Capacity:
     """Set-ups a second that the server can do, warm and not pressed; None until it has told anything."""
 
     __slots__ = ("per_s", "error", "told_per_s", "told_ms")
@@ -29,7 +29,7 @@
         self.error = math.inf  # relative, one standard deviation
         self.told_per_s, self.told_ms = math.inf, -math.inf  # the newest telling
 
-    def told(self, now_ms: float, per_s: float) -> None:
+    def report(self, now_ms: float, per_s: float) -> None:
         """What the server says it can take, already brought to a warm server's."""
         if not 0.0 < per_s < math.inf:
             return
@@ -43,7 +43,7 @@
         self.error = max(LEAST_ERROR, math.sqrt((1.0 - gain) ** 2 * self.error**2 + gain**2 * TOLD_ERROR**2))
 
 
-class Flow:
+class ArrivalRate:
     """Set-ups a second that reach the server from all senders; None until two tellings stand.
 
     Between two tellings the taken lines change by what came less what ended.  What came is the change and the
@@ -58,7 +58,7 @@
         self.variance = math.inf  # of per_s, in set-ups a second squared
         self.taken, self.at_ms = 0.0, -math.inf
 
-    def told(self, now_ms: float, taken: float, hold_ms: float, width: float) -> bool:
+    def report(self, now_ms: float, taken: float, hold_ms: float, width: float) -> bool:
         """Lines taken at the server now; mean hold and lines of a call.  Whether the estimate has moved."""
         span_ms = now_ms - self.at_ms
         if span_ms < SPAN_MS:
--- a/capershelf/memory/keeper.py
+++ b/capershelf/memory/keeper.py
@@ -21,7 +21,7 @@
 from capershelf.memory.records import Book, ServerRecord
 from capershelf.memory.schedule import large_change
 from capershelf.memory.trust import Verdict, judge_list
-from capershelf.sight import RATE_MS
+from capershelf.estimation import RATE_MS
 
 SWEEP_MS = 100.0  # between two looks at what was learned,
 A_SWEEP = 16  # of no more servers than this: some 0.1 ms
--- a/lab/spread.py
+++ b/lab/spread.py
@@ -155,7 +155,7 @@
 
 @functools.cache
 def module_at(commit: str) -> types.ModuleType:
-    """This project's control.py as it was in that commit."""
+    """This project's control.py as it was in that commit, if its imports still have their names."""
     found = subprocess.run(
         ["git", "show", f"{commit}:capershelf/control.py"],
         capture_output=True,
--- a/tests/test_cold.py
+++ b/tests/test_cold.py
@@ -15,8 +15,8 @@
 from capershelf.core import model as m
 from capershelf.core.clock import ManualClock
 from capershelf.core.planner import Planner
-from capershelf.sight.cold import Turns, dealt, lasts, most
-from capershelf.sight.fleet import LINES_ERROR
+from capershelf.estimation.cold_budget import ColdTokens, issued, token_windows, fleet_limit
+from capershelf.estimation.fleet_estimates import LINES_ERROR
 from tests.rig import listed, settings
 from tests.test_planner_states import FakeCaller, FakeServers
 
@@ -46,52 +46,52 @@
     count: int, multiple: float, budget: float, step_ms: float, idle: list[bool]
 ) -> None:
     """Greedy senders that use every turn; in between nobody wants anything, and nothing is saved up."""
-    turns = [Turns(slot, count, 0.0, multiple) for slot in range(count)]
+    turns = [ColdTokens(slot, count, 0.0, multiple) for slot in range(count)]
     sent: list[float] = []
     now_ms = 0.0
     while now_ms < 4000.0:
         now_ms += step_ms
         for one in turns:
             wants = not idle[int(now_ms // 1000.0) % 4]
-            while one.open(now_ms, budget / WINDOW_MS, WINDOW_MS) and wants:  # looked at all the time
-                assert one.take() > now_ms, "a turn that is over"
+            while one.available(now_ms, budget / WINDOW_MS, WINDOW_MS) and wants:  # looked at all the time
+                assert one.use() > now_ms, "a turn that is over"
                 sent.append(now_ms)
     # A step that the test takes lies within a turn's time or after it: it adds what opens in one step.
-    bound = most(budget) + dealt(budget, multiple) * step_ms / WINDOW_MS + 1.0
-    assert most_in_a_window(sent) <= bound <= allowed(budget) + dealt(budget, multiple) * step_ms / WINDOW_MS
+    bound = fleet_limit(budget) + issued(budget, multiple) * step_ms / WINDOW_MS + 1.0
+    assert most_in_a_window(sent) <= bound <= allowed(budget) + issued(budget, multiple) * step_ms / WINDOW_MS
 
 
 def test_a_fleet_that_wanted_nothing_for_long_has_saved_nothing_up() -> None:
-    budget, turns = 20.0, [Turns(slot, FLEET, 0.0, 3.0) for slot in range(FLEET)]
+    budget, turns = 20.0, [ColdTokens(slot, FLEET, 0.0, 3.0) for slot in range(FLEET)]
     for step in range(1, 4000):  # looked at all the time, and not used
         for one in turns:
-            one.open(step * 5.0, budget / WINDOW_MS, WINDOW_MS)
-    assert sum(map(len, turns)) <= dealt(budget, 3.0) * lasts(3.0) + 1.0
+            one.available(step * 5.0, budget / WINDOW_MS, WINDOW_MS)
+    assert sum(map(len, turns)) <= issued(budget, 3.0) * token_windows(3.0) + 1.0
 
 
 def test_a_sender_that_restarts_begins_with_no_turn() -> None:
     """The whole fleet is killed again and again just after using its turns."""
     budget, sent, now_ms = 60.0, list[float](), 0.0
-    turns = [Turns(slot, FLEET, now_ms, 3.0) for slot in range(FLEET)]
+    turns = [ColdTokens(slot, FLEET, now_ms, 3.0) for slot in range(FLEET)]
     for step in range(800):
         now_ms += 5.0
         if step % 100 == 99:
-            turns = [Turns(slot, FLEET, now_ms, 3.0) for slot in range(FLEET)]
+            turns = [ColdTokens(slot, FLEET, now_ms, 3.0) for slot in range(FLEET)]
         for one in turns:
-            if one.open(now_ms, budget / WINDOW_MS, WINDOW_MS):
-                one.take()
+            if one.available(now_ms, budget / WINDOW_MS, WINDOW_MS):
+                one.use()
                 sent.append(now_ms)
-    assert most_in_a_window(sent) <= most(budget) + 2.0
-    assert len(sent) > 0.5 * dealt(budget, 3.0) * 4, "and they do send"
+    assert most_in_a_window(sent) <= fleet_limit(budget) + 2.0
+    assert len(sent) > 0.5 * issued(budget, 3.0) * 4, "and they do send"
 
 
 def test_turns_are_the_slots_of_group_size_one_after_another() -> None:
     budget, order = 10.0, list[int]()
-    turns = [Turns(slot, 5, 0.0, 3.0) for slot in range(5)]
+    turns = [ColdTokens(slot, 5, 0.0, 3.0) for slot in range(5)]
     for step in range(1, 1000):
         for slot, one in enumerate(turns):
-            if one.open(step * 5.0, budget / WINDOW_MS, WINDOW_MS):
-                one.take()
+            if one.available(step * 5.0, budget / WINDOW_MS, WINDOW_MS):
+                one.use()
                 order.append(slot)
     assert order[:10] == [0, 1, 2, 3, 4] * 2
 
@@ -292,7 +292,7 @@
     # As each knows it: by what the other server told for its lines, and the least that it may have warmed up.
     budget = 3.0 * (0.3 + 0.7 * (8000.0 / 14000.0) ** 2) * per_s / (1.0 + LINES_ERROR)
     at_once = sum(1 for at_ms in written if at_ms == min(written))
-    bound = dealt(budget, 3.0) * lasts(3.0) + 1.0
+    bound = issued(budget, 3.0) * token_windows(3.0) + 1.0
     assert 0 < at_once <= bound, "turns that were over before the connection was there"
     budget = 3.0 * (0.3 + 0.7 * 10000.0 / 14000.0) * per_s
-    assert most_in_a_window(written) <= most(budget) + 1.0
+    assert most_in_a_window(written) <= fleet_limit(budget) + 1.0
--- a/tests/test_long_day.py
+++ b/tests/test_long_day.py
@@ -102,7 +102,7 @@
             + len(module.busy_until)
             + sum(len(s.calls) for s in planner._known.values())
             + sum(
-                len(gate.errors) + len(gate.out) + len(gate.answered_at) + len(gate.turns)
+                len(gate.errors) + len(gate.out) + len(gate.answered_at) + len(gate.tokens)
                 for gate in module.gates.values()
             )
         )
--- a/tests/test_memory_decisions.py
+++ b/tests/test_memory_decisions.py
@@ -20,8 +20,8 @@
 from capershelf.memory.records import Book, ServerRecord
 from capershelf.memory.schedule import MOST_BACK_OFF_MS, Schedule, large_change, merge
 from capershelf.memory.trust import Verdict, judge_list
-from capershelf.sight import RATE_MS
-from capershelf.sight.cold import most
+from capershelf.estimation import RATE_MS
+from capershelf.estimation.cold_budget import fleet_limit
 from tests.memory_rig import NOW_MS, book, located, news, record
 from tests.rig import Rig, listed
 
@@ -331,7 +331,7 @@
             part = terms.cold_from + (1 - terms.cold_from) * ((rig.now_ms - began_ms) / terms.ramp_ms) ** 2
             seen = max(ASKED_SHARE * module.asked.value(rig.now_ms), module.best_rate) * terms.fall_ms
             fleet = max(terms.fall_multiple * part * seen * terms.gateway_count, SURE_SENDS)
-            assert len(sent) <= 1.0 + most(fleet) / terms.gateway_count
+            assert len(sent) <= 1.0 + fleet_limit(fleet) / terms.gateway_count
             rig.stands(action.call)
         rig.all.clear()
 
