Split the call table, the probes and the wait for the list from the planner

Need: core/planner.py was one class with six jobs; whoever reads it has to hold ten fields of state in mind that only some methods use.

Change: CallTable (calls by key, those not yet told, rests, resets, and the counted outcomes), Probes (tokens that wait for an answer) and ListGate (holds set-ups while the list may have told more) are modules of core/ with tests of their own; the planner goes from 938 to 880 lines. What links, calls and the module share is still one class: its methods call each other both ways, and dividing them is a step of its own.

Ruled out: a change of behaviour. The tests' reach into the planner changed names only (planner.calls.by_key, planner.list_gate.fresh); none of their expectations did.

--- a/capershelf/core/planner.py
+++ b/capershelf/core/planner.py
@@ -9,7 +9,6 @@
 
 import dataclasses
 import functools
-import itertools
 import math
 from collections import deque
 from collections.abc import Callable
@@ -20,15 +19,13 @@
 from capershelf.control import Controller
 from capershelf.core import model as m
 from capershelf.core.attempt_gate import AttemptGate
+from capershelf.core.call_table import CallTable
 from capershelf.core.clock import Clock, Inbox
+from capershelf.core.list_gate import ListGate
+from capershelf.core.probes import Probes
 from capershelf.core.timers import Timer, Timers
 
 DEADLINE_MARGIN_MS = 15.0  # an outcome sets out so long before its caller leaves
-# Where this process stood still, what the list has told meanwhile is awaited for so long before anything
-# goes out,
-LIST_MS = 300.0
-LOOK_MS = 5.0  # looked for so often,
-PASSES_MS = 1000.0  # and where it does not come, not again before this.
 LOST_AFTER_MS = 4000.0  # calls that stood at a server out of reach for so long are taken to be cut
 REMOVED_AFTER_MS = 1000.0  # and those at one that the list has dropped, after this
 UNHEARD_MS = 8000.0  # the end of a call is kept so long for a caller without a connection
@@ -53,26 +50,17 @@
         self._classes = {kind.name: kind for kind in settings.classes}
         self._controller = Controller(settings, seed)
         self._connect_ms = connect_ms
-        self._calls: dict[int, m.Call] = {}
-        self._unheard: dict[int, m.Call] = {}  # ended, and not yet told to a caller
+        self.calls = CallTable()
         self._known: dict[str, m.ServerState] = {}
-        self._probes: dict[str, str] = {}
-        # Calls that were given up while they were out: until when their id rests, should it come again.
-        self._resting: dict[int, float] = {}
-        self._reset_at: dict[int, str] = {}  # where an attempt was reset lately: its answer may still come
+        self._probes = Probes()
         self._todo: deque[api.Event] = deque()
         self._timers = Timers()
-        self._count = itertools.count(1)
         self._stop: m.Stop | None = None
         self._news: deque[m.News] = deque()  # goes before what waits in the inbox
-        self.list_fresh: Callable[[], bool] = lambda: True  # whether what the list has told has come here
-        self._passes_ms = -math.inf  # until then set-ups go out though it has not
-        self._awaits_list = False
+        self.list_gate = ListGate(clock, self.at, self.has_news, self._list_came)
         self._list_version = 0
         self.owed: Callable[[], int] = lambda: 0  # set-ups that sessions have taken, here or on their way
         self._now_ms = 0.0
-        self.open_calls = 0
-        self.given, self.refused = 0, 0  # outcomes, and those among them that were no
 
     # -- the loop -------------------------------------------------------------------------------------
     def run(self) -> None:
@@ -120,13 +108,12 @@
             )
 
     def finished(self) -> bool:
-        if self._stop is None or self.open_calls or not self.inbox.empty():
+        if self._stop is None or self.calls.open_count or not self.inbox.empty():
             return False
         if self.owed() and self.clock.now_ms() < self._stop.answer_ms:
             return False  # a set-up was taken, and has not come here yet
         # Ends that nobody has heard keep nothing up: no new caller can come for them any more.
-        over = all(call.state is m.State.OVER for call in self._calls.values())
-        return over or self.clock.now_ms() >= self._stop.by_ms
+        return self.calls.all_over() or self.clock.now_ms() >= self._stop.by_ms
 
     def at(self, when_ms: float, fire: Callable[[], None]) -> Timer:
         """Have this done on the planner's thread at that time."""
@@ -150,7 +137,7 @@
             case m.ServerReleased():
                 self._server_released(event)
             case m.NotBegun(key, attempt):
-                if (call := self._calls.get(key)) is not None and call.attempt is attempt:
+                if (call := self.calls.by_key.get(key)) is not None and call.attempt is attempt:
                     self._not_begun(call)
             case m.ServerTold():
                 self._told(event)
@@ -163,7 +150,7 @@
             case m.TakeOver():
                 self._take_over(event)
             case m.AskOpen(back):
-                back({call.request.call_class for call in self._calls.values() if call.state is m.State.OPEN})
+                back({call.request.call_class for call in self.calls.open()})
             case m.Reached(back):
                 back()
             case m.Stop():
@@ -174,7 +161,7 @@
 
     # -- callers --------------------------------------------------------------------------------------
     def _set_up(self, request: m.SetUp, caller: m.Caller) -> None:
-        known = self._calls.get(request.key)
+        known = self.calls.by_key.get(request.key)
         if known is not None and not self._left_behind(known, caller):
             self._come_back(known, request, caller)
             return
@@ -188,9 +175,7 @@
             )
             caller.tell(m.Failed(request.id, m.INVALID))
             return
-        call = self._calls[request.key] = m.Call(request, caller)
-        call.not_before_ms = self._resting.get(request.key, -math.inf)
-        self.open_calls += 1
+        call = self.calls.add(request, caller)
         # Guards against a call without an outcome, whatever the module does: the last word is here.
         call.timer = self.at(request.expires_ms, lambda: self._expire(call))
         expires_ms = max(now_ms, request.expires_ms - DEADLINE_MARGIN_MS)
@@ -252,7 +237,7 @@
                 self._forget(call)
 
     def _caller_released(self, event: m.CallerReleased) -> None:
-        call = self._calls.get(int(event.id, 16))
+        call = self.calls.find(event.id)
         if call is None or call.state is m.State.OVER:
             return
         if call.state is m.State.OPEN:
@@ -265,14 +250,14 @@
 
     def _caller_came(self, caller: m.Caller) -> None:
         """A new connection is told of the ends that its host has not heard; no connection owns a call."""
-        if caller.outlived or not self._unheard:
+        if caller.outlived:
             return
-        for call in [c for c in self._unheard.values() if c.lost_host == caller.host]:
+        for call in self.calls.unheard_of(caller.host):
             if call.unheard is not None and caller.tell(call.unheard):
                 self._forget(call)
 
     def _caller_lost(self, caller: m.Caller) -> None:
-        for call in [call for call in self._calls.values() if call.caller is caller]:
+        for call in self.calls.of(caller):
             if call.state is m.State.OPEN and not caller.outlived:
                 self._leave(call)
             elif caller.outlived or call.state is m.State.OPEN:
@@ -281,24 +266,19 @@
                 call.caller, call.lost_host = caller.elsewhere(), caller.host
 
     def _caller_barred(self, caller: m.Caller) -> None:
-        for call in [call for call in self._calls.values() if call.caller is caller]:
+        for call in self.calls.of(caller):
             if call.state is m.State.OPEN:
                 self._leave(call)
                 self._say(call, m.Failed(call.request.id, m.INVALID))
 
     def _leave(self, call: m.Call, result: api.Result = api.Result.CANCELLED) -> None:
         """The caller has given the set-up up, or its time is over: nothing may be left out."""
-        self._latch(call)
+        self.calls.latch(call)
         key, out = call.request.key, call.attempt is not None and call.attempt.epoch is not None
         self._end_attempt(call, result, settled=True)
         if out:
-            rests_ms = self._resting[key] = self.clock.now_ms() + self._settings.release_ms
-
-            def rested() -> None:
-                if self._resting.get(key) == rests_ms:
-                    del self._resting[key]
-
-            self.at(rests_ms, rested)
+            rests_ms = self.clock.now_ms() + self._settings.release_ms
+            self.at(rests_ms, self.calls.rest(key, rests_ms))
         self._feed(api.CallerGone(key))
         self._forget(call)
         if call.caller is not None:
@@ -319,18 +299,9 @@
 
     def _last_words(self) -> None:
         """This program may be killed at any moment from now on: whoever waits gets an outcome."""
-        for call in [call for call in self._calls.values() if call.state is m.State.OPEN]:
+        for call in self.calls.open():
             self._expire(call)
 
-    def _latch(self, call: m.Call) -> bool:
-        """Whether the call's one outcome is still to be given; it counts as given from here on."""
-        if call.state is not m.State.OPEN:
-            return False
-        call.state = m.State.OVER
-        self.open_calls -= 1
-        self.given += 1
-        return True
-
     def _say(self, call: m.Call, word: m.Word) -> bool:
         if (caller := call.caller) is not None:
             if caller.tell(word):
@@ -342,19 +313,17 @@
 
     def _final(self, call: m.Call, word: m.Refused | m.Failed) -> None:
         """A final answer goes out at once; for a caller out of reach it is kept until its time is over."""
-        if not self._latch(call):
+        if not self.calls.latch(call):
             return
-        self.refused += 1
+        self.calls.refused += 1
         self._forget(call)
         if not self._say(call, word):
-            call.unheard = word
-            self._calls[call.request.key] = call
-            call.timer = self.at(call.request.expires_ms, lambda: self._forget(call))
+            self.calls.keep(call, word, self.at(call.request.expires_ms, lambda: self._forget(call)))
 
     # -- booking servers ------------------------------------------------------------------------------
     def _answered(self, event: m.ServerAnswered) -> None:
         now_ms = self.clock.now_ms()
-        call = self._calls.get(int(event.id, 16))
+        call = self.calls.find(event.id)
         attempt = call.attempt if call is not None else None
         # An attempt still waiting for its connection can't have been answered: that is of an earlier one.
         there = attempt is not None and attempt.server == event.server and attempt.epoch is not None
@@ -362,7 +331,7 @@
         if call is None:
             # Of a call that is none of ours, or was ended at the server when it was ended here; but where the
             # connection broke and was heard out, the server does not know that nobody has it.
-            if self._reset_at.get(int(event.id, 16)) == event.server:
+            if self.calls.was_reset_at(event.id, event.server):
                 self._release(event.server, event.id, m.NORMAL)
             return
         if attempt is None or not ours:
@@ -378,7 +347,7 @@
             return
         attempt.end()
         call.attempt = None
-        if not self._latch(call):
+        if not self.calls.latch(call):
             return
         call.state = m.State.STANDS
         call.server, call.stood_ms = event.server, now_ms
@@ -396,7 +365,7 @@
             self._expire(call)  # nobody can come back for it
 
     def _server_released(self, event: m.ServerReleased) -> None:
-        call = self._calls.get(int(event.id, 16))
+        call = self.calls.find(event.id)
         if call is None:
             return
         if call.state is m.State.STANDS and call.server == event.server:
@@ -423,7 +392,7 @@
         self._final(call, m.Failed(call.request.id, m.NORMAL))
 
     def _told(self, event: m.ServerTold) -> None:
-        if event.token and self._probes.pop(event.token, None) is None:
+        if event.token and self._probes.end(event.token) is None:
             return
         result = api.Result.OK if event.passed else api.Result.ERROR
         self._feed(api.ServerReport(event.server, result, event.report, bool(event.token)))
@@ -446,9 +415,8 @@
             call.caller.over(call.request.id)
         word = m.Ended(call.request.id, tell if tell is not None else m.NORMAL)
         if tell is not None and not self._say(call, word):
-            call.unheard = word
-            self._calls[call.request.key] = self._unheard[call.request.key] = call
-            call.timer = self.at(self.clock.now_ms() + UNHEARD_MS, lambda: self._forget(call))
+            self.calls.keep(call, word, self.at(self.clock.now_ms() + UNHEARD_MS, lambda: self._forget(call)))
+            self.calls.unheard[call.request.key] = call
         self._feed(api.AttemptOver(call.request.key, number, server, result, True, report=report))
 
     def _end_attempt(
@@ -475,8 +443,7 @@
         ):
             call.not_before_ms = now_ms + self._settings.release_ms
         if attempt.epoch is not None and result is api.Result.RESET:
-            self._reset_at[key] = attempt.server
-            self.at(now_ms + LATE_ANSWER_MS, functools.partial(self._heard_out, key))
+            self.at(now_ms + LATE_ANSWER_MS, self.calls.note_reset(key, attempt.server))
         logger.debug(
             "call {call}: attempt {attempt} at {server} is over: {result}",
             event="attempt-over",
@@ -500,15 +467,8 @@
             )
         )
 
-    def _heard_out(self, key: int) -> None:
-        self._reset_at.pop(key, None)
-
     def _forget(self, call: m.Call) -> None:
-        if call.timer is not None:
-            call.timer.cancel()
-        if self._calls.get(call.request.key) is call:
-            del self._calls[call.request.key]
-        self._unheard.pop(call.request.key, None)
+        self.calls.forget(call)
         for server_id in {call.server, call.attempt.server if call.attempt else ""}:
             if (server := self._known.get(server_id)) is not None:
                 server.calls.pop(call.request.key, None)
@@ -770,13 +730,13 @@
             case api.Send(key, server_id, timeout_ms, begin_by_ms):
                 self._send(key, server_id, timeout_ms, begin_by_ms)
             case api.Refuse(key, stay_away_ms):
-                if (call := self._calls.get(key)) is not None:
+                if (call := self.calls.by_key.get(key)) is not None:
                     self._final(call, m.Refused(call.request.id, stay_away_ms))
             case api.Fail(key):
-                if (call := self._calls.get(key)) is not None:
+                if (call := self.calls.by_key.get(key)) is not None:
                     self._final(call, m.Failed(call.request.id))
             case api.Cancel(key, number):
-                call = self._calls.get(key)
+                call = self.calls.by_key.get(key)
                 if call is not None and call.attempt is not None and call.attempt.number == number:
                     self._end_attempt(call, api.Result.CANCELLED)
             case api.Probe(server_id):
@@ -790,7 +750,7 @@
 
     def _send(self, key: int, server_id: str, timeout_ms: float, begin_by_ms: float) -> None:
         now_ms = self.clock.now_ms()
-        call = self._calls.get(key)
+        call = self.calls.by_key.get(key)
         server = self._known.get(server_id)
         if call is None or call.state is not m.State.OPEN or call.attempt is not None:
             raise RuntimeError(f"a set-up of call {key:016x} that may not go out")
@@ -867,16 +827,8 @@
         if (rests_ms := self.rests_until(call, server.id)) > self.clock.now_ms():
             attempt.timers.append(self.at(rests_ms, lambda: self._rested(call, attempt)))
             return
-        # In this order: what has made the list fresh has come here before.
-        if not self.list_fresh() and self.clock.now_ms() >= self._passes_ms or self._news:
-            # Guards the drain rule where this process stood still: that a server drains may have been told
-            # long ago and lie unread.  Held like a set-up without a connection, which news of a drain takes
-            # back; for a moment only, since a list that stays away stops no call.
-            if not self._awaits_list:
-                self._awaits_list = True
-                until_ms = self.clock.now_ms() + LIST_MS
-                self.at(self.clock.now_ms() + LOOK_MS, lambda: self._await_list(until_ms))
-            return
+        if self.list_gate.holds():
+            return  # held like a set-up without a connection, which news of a drain takes back
         gate = AttemptGate(self, call, attempt, server)
         if not gate.may_begin():
             self._not_begun(call)
@@ -892,17 +844,8 @@
         )
         self.servers.set_up(server.id, server.epoch, call.request, left_ms, gate)
 
-    def _await_list(self, until_ms: float) -> None:
-        """Look again in a moment; then send what waits for the list alone."""
-        now_ms = self.clock.now_ms()
-        fresh = self.list_fresh()
-        # News goes first, always: guards against a round without end between here and _dispatch.
-        if self._news or not fresh and now_ms < until_ms:
-            self.at(now_ms + LOOK_MS, lambda: self._await_list(until_ms))
-            return
-        if not fresh:
-            self._passes_ms = now_ms + PASSES_MS
-        self._awaits_list = False
+    def _list_came(self, now_ms: float) -> None:
+        """Send what waited for the list alone."""
         for server in list(self._known.values()):
             for call in list(server.calls.values()):
                 attempt = call.attempt
@@ -928,11 +871,10 @@
         if server is None or server.epoch is None:
             self._feed(api.ServerReport(server_id, api.Result.NO_CONNECTION, api.Report(), True))
             return
-        token = f"{next(self._count):016x}"
-        self._probes[token] = server_id
+        token = self._probes.begin(server_id)
         self.at(self.clock.now_ms() + self._connect_ms, lambda: self._probe_due(token))
         self.servers.probe(server_id, server.epoch, token)
 
     def _probe_due(self, token: str) -> None:
-        if (server_id := self._probes.pop(token, None)) is not None:
+        if (server_id := self._probes.end(token)) is not None:
             self._feed(api.ServerReport(server_id, api.Result.TIMEOUT, api.Report(), True))
--- a/capershelf/node.py
+++ b/capershelf/node.py
@@ -172,7 +172,7 @@
             self.sources.append(board)
             self.clock.find_standstills(FRESH_MS)  # its thread reads the clock more often than this
             for planner in self.planners:
-                planner.list_fresh = board.fresh
+                planner.list_gate.fresh = board.fresh
         else:  # an operator may list the booking servers in the file
             for news in read_notices(config.known, -1)[1]:
                 self._news(news)
@@ -253,7 +253,7 @@
 
     def outcomes(self) -> tuple[int, int]:
         """(given, refused or failed) since the start."""
-        return sum(one.given for one in self.planners), sum(one.refused for one in self.planners)
+        return sum(one.calls.given for one in self.planners), sum(one.calls.refused for one in self.planners)
 
     def reload(self, config: Config) -> None:
         """Take over what a running proxy can: the registry's address, or a list in the file itself."""
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -120,7 +120,7 @@
     servers.read("s0")
     assert not servers.out
     go_on(planner)
-    assert not planner._calls and planner.open_calls == 0 and not caller.heard
+    assert not planner.calls.by_key and planner.calls.open_count == 0 and not caller.heard
 
 
 def test_a_drain_that_is_told_and_not_dealt_with_stops_what_leaves_an_outbox() -> None:
@@ -161,7 +161,7 @@
     caller = FakeCaller(False)
     planner.inbox.put(m.SetUpCame(request(1), caller))
     go_on(planner)
-    call = planner._calls[request(1).key]
+    call = planner.calls.by_key[request(1).key]
     assert (attempt := call.attempt) is not None and attempt.epoch is None
     attempt.begin_by_ms = clock.now_ms() + 100.0  # as the module gives it for a cold server
     server = attempt.server
@@ -251,7 +251,7 @@
             caller.set_up(A)
             assert stage.servers[0].hear()["type"] == "setup"
             stage.links[0].say("release", A, cause=41)
-            stage.until(lambda: stage.planner._calls[int(A, 16)].attempt is None)
+            stage.until(lambda: stage.planner.calls.by_key[int(A, 16)].attempt is None)
             held = Held(stage.planner)
         leaves(caller, stage)
         if where == "room":  # just now there is room again: the news goes before what is in the inbox
@@ -268,7 +268,7 @@
             assert not stage.attempts
         else:
             assert setups(stage) == []
-        assert int(A, 16) not in stage.planner._calls and stage.planner.open_calls == 0
+        assert int(A, 16) not in stage.planner.calls.by_key and stage.planner.calls.open_count == 0
     finally:
         stage.end()
 
@@ -286,7 +286,9 @@
         caller = stage.caller()
         caller.set_up(A)
         stage.until(
-            lambda: (call := stage.planner._calls.get(int(A, 16))) is not None and call.attempt is not None
+            lambda: (
+                (call := stage.planner.calls.by_key.get(int(A, 16))) is not None and call.attempt is not None
+            )
         )
         held = Held(stage.planner)
         leaves(caller, stage)
@@ -297,7 +299,7 @@
         held.let_go_on()
         stage.until(lambda: all(known.epoch is not None for known in stage.planner._known.values()))
         assert setups(stage) == [] and not stage.attempts
-        assert int(A, 16) not in stage.planner._calls
+        assert int(A, 16) not in stage.planner.calls.by_key
     finally:
         stage.end()
 
@@ -311,7 +313,7 @@
         stage.links[0].say("answer", A, sdp="v=0")
         assert caller.hear()["type"] == "answer"
         caller.leave()
-        stage.until(lambda: stage.planner._calls[int(A, 16)].lost_host != "")
+        stage.until(lambda: stage.planner.calls.by_key[int(A, 16)].lost_host != "")
         other = stage.caller()
         other.say("release", A, cause=16)
         assert stage.servers[0].hear()["type"] == "release"
@@ -341,7 +343,7 @@
     planner, servers, _, caller = in_outbox()
     planner.inbox.put(m.ServerAnswered("s0", request(1).id, "of an earlier attempt", None))
     go_on(planner)
-    assert not caller.heard and planner.open_calls == 1
+    assert not caller.heard and planner.calls.open_count == 1
     servers.read("s0")
     go_on(planner)
     assert len(servers.out) == 1, "one attempt, and it is out"
@@ -362,7 +364,12 @@
     go_on(planner)
     clock.advance(1000.0)
     go_on(planner)
-    assert not servers.out and len(caller.heard) == 1 and not planner._calls and planner.open_calls == 0
+    assert (
+        not servers.out
+        and len(caller.heard) == 1
+        and not planner.calls.by_key
+        and planner.calls.open_count == 0
+    )
 
 
 # -- ends that come twice, late, or for another attempt --------------------------------------------------
@@ -383,7 +390,7 @@
 
 def test_an_end_that_comes_twice_does_not_free_the_call_from_its_next_attempt_there() -> None:
     planner, servers, clock = out_again(api.Result.NOT_SENT, 102)
-    call = planner._calls[request(1).key]
+    call = planner.calls.by_key[request(1).key]
     assert not servers.out, "the copy may still be on its way"
     copy = m.ServerReleased("s0", request(1).id, 102, api.Result.NOT_SENT, api.Why.UNSAID, None)
     planner.inbox.put(copy)
@@ -424,7 +431,7 @@
     for _ in range(8):
         clock.advance(25.0)
         go_on(planner)
-    assert request(1).key not in planner._calls and len(caller.heard) == 1
+    assert request(1).key not in planner.calls.by_key and len(caller.heard) == 1
     servers.out.clear()
     servers.standing[request(1).id] = "s0"  # the server answered just before it saw the end
     clock.advance(late_ms)
--- a/tests/test_long_day.py
+++ b/tests/test_long_day.py
@@ -90,8 +90,8 @@
         """Everything that is kept for a server, a call or a caller."""
         planner, module = self.planner, self.planner._controller
         return (
-            len(planner._calls)
-            + len(planner._unheard)
+            len(planner.calls.by_key)
+            + len(planner.calls.unheard)
             + len(planner._known)
             + len(planner._probes)
             + len(planner._timers)
@@ -132,11 +132,11 @@
     assert len(planner._known) <= 3
     assert not module.calls
     assert not module.held
-    assert not planner._unheard
+    assert not planner.calls.unheard
     assert len(planner._timers) <= 20
     gc.collect()
     alive = sum(1 for caller in day.seen if caller() is not None)
-    assert alive <= len(planner._calls)
+    assert alive <= len(planner.calls.by_key)
 
 
 def test_callers_take_no_more_than_the_memory_has_room_for() -> None:
--- a/tests/test_loopback.py
+++ b/tests/test_loopback.py
@@ -59,7 +59,7 @@
         caller.set_up(D, extras="dest:1")  # reset on its way: not again within 200 ms
         servers[1].hear()
         stage.links[1].say("release", D, cause=41)
-        stage.until(lambda: stage.planner._calls[int(D, 16)].attempt is None)
+        stage.until(lambda: stage.planner.calls.by_key[int(D, 16)].attempt is None)
         stage.advance(300)
         again = stage.attempts[-1]
         assert again[1] == D
@@ -133,7 +133,7 @@
             # Over, held, sent again, or waiting until a second copy of this end can no longer be on its way.
             stage.until(
                 lambda n=n: (
-                    (call := stage.planner._calls.get(int(A, 16))) is None  # type: ignore[misc]
+                    (call := stage.planner.calls.by_key.get(int(A, 16))) is None  # type: ignore[misc]
                     or call.attempt is None
                     or call.attempt.epoch is None
                     or len(stage.attempts) > n
@@ -155,9 +155,9 @@
         assert server.hear()["id"] == A
         if state == "held":
             link.say("release", A, cause=41)
-            stage.until(lambda: stage.planner._calls[int(A, 16)].attempt is None)
+            stage.until(lambda: stage.planner.calls.by_key[int(A, 16)].attempt is None)
         caller.leave()
-        stage.until(lambda: stage.planner._calls[int(A, 16)].caller is None)
+        stage.until(lambda: stage.planner.calls.by_key[int(A, 16)].caller is None)
         if state == "held":
             stage.advance(250)
             again = int(stage.attempts[-1][2][1])
@@ -168,14 +168,14 @@
             link.say("answer", A, sdp="v=0")
         if state == "ended":
             link.say("release", A, cause=16)
-            stage.until(lambda: bool(stage.planner._unheard))
+            stage.until(lambda: bool(stage.planner.calls.unheard))
         elif state != "out":
-            stage.until(lambda: stage.planner._calls[int(A, 16)].unheard is not None)
+            stage.until(lambda: stage.planner.calls.by_key[int(A, 16)].unheard is not None)
         sent = len(stage.attempts)
         again_caller = stage.caller()
         again_caller.set_up(A)
         if state == "out":
-            stage.until(lambda: stage.planner._calls[int(A, 16)].caller is not None)
+            stage.until(lambda: stage.planner.calls.by_key[int(A, 16)].caller is not None)
             link.say("answer", A, sdp="v=0")
         kind, call, cause, sdp = outcome(again_caller.hear())
         assert call == A
@@ -199,13 +199,13 @@
         assert stage.servers[0].hear()["id"] == A
         caller.leave()
         # An answer written before the proxy has seen the close counts as told: nobody can know better.
-        stage.until(lambda: stage.planner._calls[int(A, 16)].caller is None)
+        stage.until(lambda: stage.planner.calls.by_key[int(A, 16)].caller is None)
         if answered:
             stage.links[0].say("answer", A, sdp="v=0")
-            stage.until(lambda: stage.planner.open_calls == 0)
+            stage.until(lambda: stage.planner.calls.open_count == 0)
         stage.advance(1100)
         assert outcome(stage.servers[0].hear())[:3] == ("release", A, 16)
-        assert not stage.planner._calls
+        assert not stage.planner.calls.by_key
         assert stage.servers[0].got.empty()
     finally:
         stage.end()
@@ -216,7 +216,7 @@
     caller.set_up(A)
     assert stage.servers[0].hear()["id"] == A
     stage.links[0].leave()
-    stage.until(lambda: stage.planner._calls[int(A, 16)].attempt is None)
+    stage.until(lambda: stage.planner.calls.by_key[int(A, 16)].attempt is None)
     stage.links[0] = stage.again(0)
     stage.advance(195)
     assert len(stage.attempts) == 1
@@ -257,7 +257,7 @@
         assert dropped.connection.post(answer)
     assert dropped.closed.wait(PATIENCE_S)
     stage.links[0] = stage.again(0)
-    stage.until(lambda: all(call.attempt is None for call in stage.planner._calls.values()))
+    stage.until(lambda: all(call.attempt is None for call in stage.planner.calls.by_key.values()))
     stage.advance(195)
     assert len(stage.attempts) == 2
     assert caller.got.empty()
@@ -358,7 +358,7 @@
     stage.links[0] = stage.again(0, "new")
     stage.until(lambda: stage.planner._known["new"].epoch is not None)
     assert "s0" not in stage.planner._known
-    assert stage.planner._calls[int(B, 16)].attempt is None
+    assert stage.planner.calls.by_key[int(B, 16)].attempt is None
     stage.advance(300)
     assert stage.attempts[-1][1:3] in ((B, "new"), (B, "s1"))
 
@@ -559,12 +559,12 @@
     assert outcome(caller.hear())[:3] == ("release", B, 17)
     assert not stage.planner.finished()
     caller.leave()
-    stage.until(lambda: stage.planner._calls[int(A, 16)].caller is None)
+    stage.until(lambda: stage.planner.calls.by_key[int(A, 16)].caller is None)
     stage.links[0].say("release", A, cause=16)
     thread = next(t for t in stage.node._threads if t.name == stage.planner.name)
     thread.join(PATIENCE_S)
     assert not thread.is_alive()
-    assert stage.planner._unheard
+    assert stage.planner.calls.unheard
 
 
 def test_planners_take_slots_of_their_own_and_each_call_has_one_planner() -> None:
--- /dev/null
+++ b/tests/test_planner_parts.py
@@ -0,0 +1,142 @@
+"""The parts of the planner that stand alone: its call table, its probes, the gate that awaits the list."""
+
+from __future__ import annotations
+
+import math
+
+from capershelf.core import model as m
+from capershelf.core.call_table import CallTable
+from capershelf.core.clock import ManualClock
+from capershelf.core.list_gate import LIST_MS, LOOK_MS, PASSES_MS, ListGate
+from capershelf.core.probes import Probes
+from capershelf.core.timers import Timers
+
+CALL, OTHER = (f"{n:016x}" for n in (0xA0, 0xA1))
+
+
+class FakeCaller:
+    outlived = False
+    host = "127.0.0.1"
+
+    def elsewhere(self) -> m.Caller | None:
+        return None
+
+    def tell(self, word: m.Word) -> bool:
+        return True
+
+    def waits(self, call_id: str) -> bool:
+        return True
+
+    def over(self, call_id: str) -> None:
+        """Nobody counts here."""
+
+
+def request(call_id: str = CALL) -> m.SetUp:
+    return m.SetUp(call_id, "usual", 9000.0, "n", "asked for")
+
+
+def test_an_outcome_is_given_once() -> None:
+    table = CallTable()
+    call = table.add(request(), FakeCaller())
+    assert (table.open_count, table.given, table.all_over()) == (1, 0, False)
+    assert table.latch(call)
+    assert not table.latch(call)
+    assert (table.open_count, table.given, table.all_over()) == (0, 1, True)
+
+
+def test_calls_are_found_by_id_state_and_caller() -> None:
+    table, caller = CallTable(), FakeCaller()
+    call, other = table.add(request(), caller), table.add(request(OTHER), FakeCaller())
+    assert table.find(CALL) is call and table.find("f" * 16) is None
+    table.latch(other)
+    assert table.open() == [call] and table.of(caller) == [call]
+
+
+def test_a_call_that_was_given_up_rests_before_it_comes_again() -> None:
+    table = CallTable()
+    first, second = table.rest(int(CALL, 16), 1200.0), table.rest(int(CALL, 16), 1500.0)
+    first()  # the later rest holds
+    assert table.add(request(), FakeCaller()).not_before_ms == 1500.0
+    second()
+    assert table.add(request(), FakeCaller()).not_before_ms == -math.inf
+
+
+def test_forgetting_a_call_leaves_another_of_its_key() -> None:
+    table, timers = CallTable(), Timers()
+    call = table.add(request(), FakeCaller())
+    table.latch(call)
+    fired: list[int] = []
+    table.keep(call, m.Refused(CALL), timers.at(5.0, lambda: fired.append(1)))
+    call.lost_host = "127.0.0.1"
+    table.unheard[call.request.key] = call
+    assert table.unheard_of("127.0.0.1") == [call] and table.unheard_of("127.0.0.2") == []
+    newer = table.add(request(), FakeCaller())
+    table.forget(call)
+    assert table.find(CALL) is newer and not table.unheard
+    for timer in timers.due(10.0):
+        timer.fire()
+    assert fired == [], "its timer is cancelled"
+
+
+def test_where_an_attempt_was_reset_is_known_until_it_is_heard_out() -> None:
+    table = CallTable()
+    heard_out = table.note_reset(int(CALL, 16), "s0")
+    assert table.was_reset_at(CALL, "s0") and not table.was_reset_at(CALL, "s1")
+    heard_out()
+    assert not table.was_reset_at(CALL, "s0")
+
+
+def test_a_probe_ends_once() -> None:
+    probes = Probes()
+    token, other = probes.begin("s0"), probes.begin("s1")
+    assert token != other and len(token) == 16
+    assert probes.end(token) == "s0"
+    assert probes.end(token) is None and probes.end("0" * 16) is None
+    assert len(probes) == 1
+
+
+class Waiting:
+    """A list gate on a clock that the test moves."""
+
+    def __init__(self) -> None:
+        self.clock, self.timers = ManualClock(0.0), Timers()
+        self.fresh, self.news = False, False
+        self.released: list[float] = []
+        self.gate = ListGate(self.clock, self.timers.at, lambda: self.news, self.released.append)
+        self.gate.fresh = lambda: self.fresh
+
+    def advance(self, by_ms: float) -> None:
+        until_ms = self.clock.now_ms() + by_ms
+        while self.clock.now_ms() < until_ms:
+            self.clock.advance(LOOK_MS)
+            for timer in self.timers.due(self.clock.now_ms()):
+                timer.fire()
+
+
+def test_set_ups_wait_for_a_list_that_is_not_fresh_and_go_once_it_is() -> None:
+    one = Waiting()
+    assert one.gate.holds() and one.gate.holds()
+    assert len(one.timers) == 1, "it is looked for once for all that wait"
+    one.fresh = True
+    one.advance(LOOK_MS)
+    assert one.released == [LOOK_MS] and not one.gate.holds()
+
+
+def test_news_that_is_not_dealt_with_holds_whatever_the_time() -> None:
+    one = Waiting()
+    one.fresh = one.news = True
+    assert one.gate.holds()
+    one.advance(2.0 * LIST_MS)
+    assert one.released == []
+    one.news = False
+    one.advance(LOOK_MS)
+    assert len(one.released) == 1
+
+
+def test_a_list_that_stays_away_stops_no_call() -> None:
+    one = Waiting()
+    assert one.gate.holds()
+    one.advance(LIST_MS)
+    assert one.released == [LIST_MS] and not one.gate.holds()
+    one.advance(PASSES_MS)
+    assert one.gate.holds(), "it is looked for again after a while"
--- a/tests/test_planner_states.py
+++ b/tests/test_planner_states.py
@@ -284,7 +284,7 @@
 
     def teardown(self) -> None:
         self.time_passes(9000.0)
-        assert self.planner.open_calls == 0
+        assert self.planner.calls.open_count == 0
         assert not self.servers.out, "an attempt is left out"
         for call in self.servers.standing:
             assert any(self.words(call)), "a call stands for nobody"
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -252,7 +252,7 @@
 def test_a_process_that_stood_still_sends_nothing_before_it_knows_what_the_list_has_told() -> None:
     planner, servers, clock = planner_with()
     fresh = False
-    planner.list_fresh = lambda: fresh
+    planner.list_gate.fresh = lambda: fresh
     planner.inbox.put(m.SetUpCame(request(1), FakeCaller(False)))
     go_on(planner)
     assert not servers.out
@@ -281,7 +281,7 @@
         asked.append(1)
         return fresh()
 
-    planner.list_fresh = counted
+    planner.list_gate.fresh = counted
     for number in range(1, 9):  # in one event: the last of them finds seven others that wait
         planner.inbox.put(m.SetUpCame(request(number), FakeCaller(False)))
     planner.step()
@@ -295,7 +295,7 @@
 
 def test_a_list_that_stays_away_holds_set_ups_for_a_moment_only_and_not_each_of_them() -> None:
     planner, servers, clock = planner_with()
-    planner.list_fresh = lambda: False
+    planner.list_gate.fresh = lambda: False
     planner.inbox.put(m.SetUpCame(request(1), FakeCaller(False)))
     go_on(planner)
     for _ in range(61):
