Make room at a full front with the next silent callers where the oldest can't go

Seen: the suite beside 8 busy processes failed in test_a_flood_while_the_board_is_down (a new caller's set-up never reached its booking server); that test alone, under the same load, in two of ten runs.

Traced with the program's log: callers are 'turned away, 32 callers are connected' by the dozen within one millisecond, so nobody waited for a place. Listener._make_room tried the four oldest silent callers only; those with bytes that their starved threads had not read yet are rightly kept (Session.retire), and with four such ones first it gave up, though 21 of the 32 or so had said nothing at all.

Ruled out: the wait for the descriptors to be given back (100 ms, not reached), the newcomer being hung up on as silent itself (it was the last to come).

Change: silent callers are gone through until four have gone. Only where none could, those that have spoken are asked for, within their budget as before; before, one of them among the first four made the silent ones wait for that budget, too.

--- a/capershelf/fronts/listener.py
+++ b/capershelf/fronts/listener.py
@@ -6,7 +6,7 @@
 import math
 import socket
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 from loguru import logger
@@ -109,14 +109,29 @@
         with self._lock:
             found = [session for session in self._sessions if session.spare()]
         found.sort(key=lambda session: (not session.silent, session.connection.half(), session.at_ms))
-        found = found[:most]
-        if not all(one.silent for one in found):
-            self._may = min(MOST_ROOM, self._may + (now_ms - self._may_ms) * ROOM_PER_MS)
-            self._may_ms = now_ms
-            if self._may < most:
-                return False
-            self._may -= most
-        return sum([session.retire("the front is full", at_once=True) for session in found]) > 0
+        silent = [session for session in found if session.silent]
+        if self._retire(silent, most):
+            return True
+        self._may = min(MOST_ROOM, self._may + (now_ms - self._may_ms) * ROOM_PER_MS)
+        self._may_ms = now_ms
+        if self._may < most:
+            return False
+        self._may -= most
+        return self._retire(found[len(silent) :][:most], most)
+
+    @staticmethod
+    def _retire(sessions: Iterable[Session], most: int) -> bool:
+        """Hang up on the first of these that can go, so many at the most; whether one went.
+
+        Those of whom something lies unread stay: guards a newcomer from being turned away for the oldest
+        few of them where the others would make room.
+        """
+        gone = 0
+        for session in sessions:
+            gone += session.retire("the front is full", at_once=True)
+            if gone == most:
+                break
+        return gone > 0
 
     def _has_room(self) -> bool:
         """Whether one of those that were hung up on has given its descriptor back.
--- a/tests/test_descriptors.py
+++ b/tests/test_descriptors.py
@@ -88,6 +88,29 @@
         sock.close()
 
 
+def test_a_newcomer_finds_room_though_of_the_oldest_silent_clients_something_lies_unread(
+    listener: door.Listener,
+) -> None:
+    """Their threads have not come to reading it, as under load; the others that say nothing go."""
+    address = ("127.0.0.1", listener.port)
+    idle = []
+    for number in range(MOST):
+        idle.append(socket.create_connection(address))
+        until(lambda number=number: len(listener._sessions) == number + 1)  # type: ignore[misc]
+    oldest = sorted(listener._sessions, key=lambda session: session.at_ms)[: door.ROOM]
+    for session in oldest:
+        session.connection._busy = True
+    late = Peer(socket.create_connection(address), Lines(), queue.SimpleQueue())
+    late.say("setup", "00000000000000a2", fields={"class": "usual", "left": "5000"}, sdp="v=0")
+    until(lambda: listener._house.owed == 1 or late.closed.is_set())
+    assert not late.closed.is_set() and listener._house.owed == 1
+    assert all(session in listener._sessions for session in oldest)
+    for session in oldest:
+        session.connection._busy = False
+    for sock in idle:
+        sock.close()
+
+
 def test_a_flood_while_the_board_is_down_leaves_the_list_the_links_and_callers_theirs(tmp_path: Path) -> None:
     limit, server = 96, BookingServer(False)
     with socket.create_server(("127.0.0.1", 0)) as free, socket.create_server(("127.0.0.1", 0)) as other:
