Log connections, heartbeats and why established calls are interrupted

The log of the incident could not tell a cut-off server from a hung or refusing one: a connection that comes up again, a missed heartbeat, an attempt to replace a connection and a forgotten heartbeat left no line, and neither did the calls interrupted at a server, nor an end that no caller fetched.

New events: link-up and heartbeat-learned (debug), link-restored, link-closed, heartbeat-missed, heartbeat-forgotten and end-undelivered (info), calls-interrupted with server, reason, count and call ids (warning), call-rejected with its attempts (debug). Interrupting established calls is one function now, with a reason, instead of three copies of its loop. Nothing changes in behaviour.

--- a/capershelf/core/planner.py
+++ b/capershelf/core/planner.py
@@ -35,6 +35,8 @@
 UNDELIVERED_END_TTL_MS = 8000.0
 # How long an attempt that was reset may still be answered: a replaced connection is read to its end.
 LATE_ANSWER_MS = 2000.0
+# Call ids listed in one log line.
+MAX_LOGGED_CALLS = 20
 # Interval between reviews of the subset's members.
 SUBSET_REVIEW_INTERVAL_MS = 100.0
 
@@ -332,6 +334,13 @@
         if not self.calls.claim_outcome(call):
             return
         self.calls.rejected_count += 1
+        logger.debug(
+            "call {call}: {outcome} after {attempts} attempts",
+            event="call-rejected",
+            call=call.request.id,
+            outcome=type(message).__name__.lower(),
+            attempts=call.attempts,
+        )
         self._remove_call(call)
         if not self._notify_caller(call, message):
             self.calls.retain_undelivered(
@@ -453,13 +462,24 @@
             self.calls.retain_undelivered(
                 call,
                 message,
-                self.schedule(self.clock.now_ms() + UNDELIVERED_END_TTL_MS, lambda: self._remove_call(call)),
+                self.schedule(
+                    self.clock.now_ms() + UNDELIVERED_END_TTL_MS, lambda: self._drop_undelivered_end(call)
+                ),
             )
             self.calls.undelivered_ends[call.request.key] = call
         self._notify_controller(
             interface.AttemptEnded(call.request.key, number, server, result, True, report=report)
         )
 
+    def _drop_undelivered_end(self, call: model.Call) -> None:
+        """Forget the end of a call that no connection of its caller came to fetch."""
+        logger.info(
+            "call {call}: its caller did not come back for its end",
+            event="end-undelivered",
+            call=call.request.id,
+        )
+        self._remove_call(call)
+
     def _end_attempt(
         self,
         call: model.Call,
@@ -562,21 +582,39 @@
                     self._end_attempt(call, interface.Result.RESET)
                 elif event.epoch is None and attempt.epoch is None:
                     self._end_attempt(call, interface.Result.NO_CONNECTION)
-            elif call.state is model.CallState.ESTABLISHED and event.refused:
-                # Nothing listens there: the process died, and its calls are lost.
-                self._end_established(call, interface.Result.RESET, model.CAUSE_INTERRUPTED)
+        if event.refused:
+            # Nothing listens there: the process died, and its calls are lost.
+            self._interrupt_established(server, "connection refused")
 
     def _interrupt_if_unreachable(self, server: model.ServerState) -> None:
         """End the calls at a server that has stayed disconnected too long, as it may have died silently."""
         if server.epoch is None and self.clock.now_ms() - server.disconnected_ms >= DISCONNECT_GRACE_MS - 1.0:
-            self._interrupt_established(server)
+            self._interrupt_established(server, "no connection")
             server.pending_releases.clear()
 
-    def _interrupt_established(self, server: model.ServerState) -> None:
-        """End all calls established at the server as interrupted."""
-        for call in list(server.calls.values()):
-            if call.state is model.CallState.ESTABLISHED:
-                self._end_established(call, interface.Result.RESET, model.CAUSE_INTERRUPTED)
+    def _interrupt_established(
+        self, server: model.ServerState, reason: str, established_before_ms: float = math.inf
+    ) -> None:
+        """End the calls established at the server before that time as interrupted, and log why."""
+        interrupted = [
+            call
+            for call in server.calls.values()
+            if call.state is model.CallState.ESTABLISHED
+            and (established_before_ms == math.inf or call.established_ms < established_before_ms)
+        ]
+        if not interrupted:
+            return
+        logger.warning(
+            "{planner}: {count} calls established at {server} interrupted: {reason}",
+            event="calls-interrupted",
+            planner=self.name,
+            server=server.id,
+            reason=reason,
+            count=len(interrupted),
+            calls=[call.request.id for call in interrupted[:MAX_LOGGED_CALLS]],
+        )
+        for call in interrupted:
+            self._end_established(call, interface.Result.RESET, model.CAUSE_INTERRUPTED)
 
     def _list_updated(self, event: model.ServerListUpdate) -> None:
         if self.subset is None:
@@ -683,9 +721,7 @@
         the restart: no connect was refused, and the new process does not know the calls.
         """
         server.started_ms = started_ms
-        for call in list(server.calls.values()):
-            if call.state is model.CallState.ESTABLISHED and call.established_ms < started_ms:
-                self._end_established(call, interface.Result.RESET, model.CAUSE_INTERRUPTED)
+        self._interrupt_established(server, "restarted", started_ms)
 
     def _replace_address_owner(self, endpoint: str, new_id: str) -> None:
         """Drop any other server listed at this address, so that its calls are not sent to the new one."""
@@ -704,7 +740,7 @@
             server.removed, server.epoch = True, None
             del self._server_states[server.id]
             self.servers.close(server.id)
-            self._interrupt_established(server)
+            self._interrupt_established(server, "address taken over")
             for call in list(server.calls.values()):
                 self._end_attempt(call, interface.Result.RESET)
             server.calls.clear()
@@ -717,7 +753,7 @@
 
         def drop() -> None:
             if server.removed:
-                self._interrupt_established(server)
+                self._interrupt_established(server, "removed from the list")
                 if server.calls:  # attempts in progress end by their own deadlines
                     self.schedule(self.clock.now_ms() + REMOVAL_GRACE_MS, drop)
                     return
--- a/capershelf/net/links.py
+++ b/capershelf/net/links.py
@@ -197,6 +197,7 @@
         self._connection: Connection | None = None
         self._epoch = 0
         self._ended = self._opened = self._connect_requested = self._was_dropped = False
+        self._was_up = False  # a connection to the server has been established before
         self._suspended = suspended
         self._connect_attempt: ConnectAttempt | None = None
         self._replacing = False  # the attempt is to replace a silent connection
@@ -425,6 +426,13 @@
                 reason=connection.drop_reason,
             )
             self._was_dropped = True
+        else:
+            logger.info(
+                "server {server}: connection closed by the server",
+                event="link-closed",
+                server=self.server,
+                epoch=self._epoch,
+            )
         self._emit(LinkDown(self.server, self._epoch))
         if replacement is not None:
             self._start_connection(replacement)
@@ -447,6 +455,18 @@
 
     def _on_opened(self) -> None:
         self._opened = True
+        if self._was_up:
+            logger.info(
+                "server {server}: connection restored",
+                event="link-restored",
+                server=self.server,
+                epoch=self._epoch,
+            )
+        else:  # a start opens hundreds at once
+            logger.debug(
+                "server {server}: connection up", event="link-up", server=self.server, epoch=self._epoch
+            )
+        self._was_up = True
         self._emit(LinkUp(self.server, self._epoch, self._was_dropped))
 
     # -- a server's heartbeat -------------------------------------------------------------------------
@@ -475,10 +495,23 @@
         if self._report_count > 2:
             self._gaps_ms.append(now_ms - self._last_report_ms)
             if len(self._gaps_ms) == GAP_SAMPLES and max(self._gaps_ms) <= MAX_GAP_RATIO * min(self._gaps_ms):
+                if self._heartbeat_gap_ms == math.inf:
+                    logger.debug(
+                        "server {server}: heartbeat learned, {gap_ms:.0f} ms",
+                        event="heartbeat-learned",
+                        server=self.server,
+                        gap_ms=max(self._gaps_ms),
+                    )
                 self._heartbeat_gap_ms = max(self._gaps_ms)
         self._last_report_ms = now_ms
 
-    def _forget_heartbeat(self) -> None:
+    def _forget_heartbeat(self, reason: str) -> None:
+        logger.info(
+            "server {server}: heartbeat no longer expected: {reason}",
+            event="heartbeat-forgotten",
+            server=self.server,
+            reason=reason,
+        )
         self._gaps_ms.clear()
         self._heartbeat_gap_ms = math.inf
 
@@ -493,6 +526,13 @@
             self._replace_after_ms = now_ms + REPLACEMENT_RETRY_MS
             return True
         self._replacing, self._replacing_since_ms = True, now_ms
+        logger.info(
+            "server {server}: nothing received for {silent_ms:.0f} ms, connecting anew",
+            event="heartbeat-missed",
+            server=self.server,
+            epoch=self._epoch,
+            silent_ms=now_ms - self._last_received_ms,
+        )
         if self._connect_attempt is None:
             self._holds_slot = True
             self._connect()
@@ -514,12 +554,12 @@
             self._arm_timer(connection)
             return
         if isinstance(problem, ConnectionRefusedError):
-            self._forget_heartbeat()
+            self._forget_heartbeat("a new connection was refused")
             return
         self._heartbeat_timeouts += 1
         if self._heartbeat_timeouts >= MAX_HEARTBEAT_TIMEOUTS:
             # There is no heartbeat any more: stop replacing connections for it.
-            self._forget_heartbeat()
+            self._forget_heartbeat("it was missed on several connections in a row")
         if connection is not None:
             connection.drop_reason = "nothing came"
             self._connection_ended(connection, sock)
