End calls at servers that give no sign of life, whatever is known of their heartbeat

Cause: the only deadline for silence on an open connection came from a learned heartbeat. Without four unasked reports there was none; after four replaced connections (a hung server) or one refused connect (taken for a drain) the heartbeat was forgotten and there was none from then on. Calls outlive connections, so nothing ended them. Class: a liveness check that is armed only by what it has observed, with no absolute bound.

Fix: SilenceWatch looks at each server with established calls. After 4.5 s without a message from it, on whatever connection, it is pinged (or connected to anew where probes are not allowed; each new connection starts with a report); without a sign of life in another 1.5 s its calls are ended as interrupted and released there. It depends on nothing learned, and 6 s leave 2 s of the 8 s. A server that drains and answers pings keeps its calls.

--- a/capershelf/core/model.py
+++ b/capershelf/core/model.py
@@ -140,6 +140,12 @@
 
     def probe(self, server: str, epoch: int, token: str) -> None: ...
 
+    def last_message_ms(self, server: str) -> float:
+        """When a message was last received, or the link was opened; now without a link."""
+
+    def replace_connection(self, server: str) -> None:
+        """Connect anew, and drop the current connection once that has succeeded."""
+
     def is_flushed(self) -> bool:
         """Whether all write queues are empty."""
 
--- a/capershelf/core/planner.py
+++ b/capershelf/core/planner.py
@@ -23,6 +23,7 @@
 from capershelf.core.clock import Clock, Inbox
 from capershelf.core.list_gate import ListGate
 from capershelf.core.probes import Probes
+from capershelf.core.silence_watch import SilenceWatch
 from capershelf.core.timers import Timer, Timers
 
 # Time reserved for delivering an outcome before the caller's deadline.
@@ -35,6 +36,8 @@
 UNDELIVERED_END_TTL_MS = 8000.0
 # How long an attempt that was reset may still be answered: a replaced connection is read to its end.
 LATE_ANSWER_MS = 2000.0
+# Token of pings whose answer only has to arrive; that of no probe.
+SIGN_OF_LIFE_TOKEN = "0" * 16
 # Call ids listed in one log line.
 MAX_LOGGED_CALLS = 20
 # Interval between reviews of the subset's members.
@@ -65,6 +68,7 @@
         self._stop: model.Stop | None = None
         self._pending_updates: deque[model.ServerListUpdate] = deque()  # handled before the inbox
         self.list_gate = ListGate(clock, self.schedule, self.has_pending_updates, self._resume_held_attempts)
+        self._silence_watch = SilenceWatch(clock, self.schedule, self)
         self._list_version = 0
         # Number of set-ups that sessions have accepted and that have had no outcome yet.
         self.pending_set_ups: Callable[[], int] = lambda: 0
@@ -383,6 +387,7 @@
             return
         call.state = model.CallState.ESTABLISHED
         call.server, call.established_ms = event.server, now_ms
+        self._silence_watch.watch(event.server)
         logger.debug(
             "call {call}: established at {server}", event="call-stands", call=event.id, server=event.server
         )
@@ -586,6 +591,41 @@
             # Nothing listens there: the process died, and its calls are lost.
             self._interrupt_established(server, "connection refused")
 
+    def has_established(self, server_id: str) -> bool:
+        """Whether calls are established at the server."""
+        server = self._server_states.get(server_id)
+        return server is not None and bool(self._established_at(server))
+
+    @staticmethod
+    def _established_at(server: model.ServerState) -> list[model.Call]:
+        return [call for call in server.calls.values() if call.state is model.CallState.ESTABLISHED]
+
+    def last_message_ms(self, server_id: str) -> float:
+        """When a message was last received from the server."""
+        return self.servers.last_message_ms(server_id)
+
+    def request_sign_of_life(self, server_id: str) -> None:
+        """Ping the server; where that is not allowed connect anew, as it reports on each new connection."""
+        server = self._server_states[server_id]
+        if server.epoch is None:
+            return  # a connection to it is being made already
+        if self._settings.may_probe:
+            self.servers.probe(server_id, server.epoch, SIGN_OF_LIFE_TOKEN)
+        else:
+            self.servers.replace_connection(server_id)
+
+    def interrupt_silent(self, server_id: str) -> None:
+        """End the calls established at a server that gives no sign of life, and release them there."""
+        server = self._server_states[server_id]
+        if server.draining and not self._settings.may_probe:
+            # It accepts no connection and may not be pinged; its removal from the list ends its calls.
+            self._silence_watch.watch(server_id)
+            return
+        calls = self._established_at(server)
+        self._interrupt_established(server, "no sign of life")
+        for call in calls:
+            self._release(server_id, call.request.id, model.CAUSE_INTERRUPTED)
+
     def _interrupt_if_unreachable(self, server: model.ServerState) -> None:
         """End the calls at a server that has stayed disconnected too long, as it may have died silently."""
         if server.epoch is None and self.clock.now_ms() - server.disconnected_ms >= DISCONNECT_GRACE_MS - 1.0:
@@ -597,10 +637,7 @@
     ) -> None:
         """End the calls established at the server before that time as interrupted, and log why."""
         interrupted = [
-            call
-            for call in server.calls.values()
-            if call.state is model.CallState.ESTABLISHED
-            and (established_before_ms == math.inf or call.established_ms < established_before_ms)
+            call for call in self._established_at(server) if call.established_ms < established_before_ms
         ]
         if not interrupted:
             return
--- /dev/null
+++ b/capershelf/core/silence_watch.py
@@ -0,0 +1,74 @@
+"""Bounds how long calls stay established at a booking server from which nothing is received.
+
+The heartbeat check of a link depends on what the link has learned of its server.  This check does not: it
+covers servers without a known heartbeat, servers that hang while connections to them succeed, and servers
+that refuse connections while the open one is silent.  Owned by the planner's thread.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable
+from typing import Protocol
+
+from capershelf.core.clock import Clock
+from capershelf.core.timers import Timer
+
+# Callers must be told of the end of a call within 8 s, and a call may end as soon as its server falls silent.
+TEST_AFTER_MS = 4500.0  # of silence; a server that drains may send nothing for that long
+TEST_TIMEOUT_MS = 1500.0  # also the time to read what arrived while this process was paused
+
+
+class WatchedServers(Protocol):
+    """What the watch needs to know and to do; implemented by the planner."""
+
+    def has_established(self, server: str) -> bool:
+        """Whether calls are established at the server."""
+
+    def last_message_ms(self, server: str) -> float:
+        """When a message was last received from the server."""
+
+    def request_sign_of_life(self, server: str) -> None:
+        """Make the server send something, if it can."""
+
+    def interrupt_silent(self, server: str) -> None:
+        """End the calls established at the server."""
+
+
+class SilenceWatch:
+    """Tests servers that have been silent with calls established there, and gives up those that stay so."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        schedule: Callable[[float, Callable[[], None]], Timer],
+        servers: WatchedServers,
+    ) -> None:
+        self._clock, self._schedule, self._servers = clock, schedule, servers
+        self._tested_ms: dict[str, float] = {}  # last test by watched server; -inf: none
+
+    def watch(self, server: str) -> None:
+        """Watch the server for as long as calls are established there."""
+        if server not in self._tested_ms:
+            self._tested_ms[server] = -math.inf
+            self._schedule_check(server, self._clock.now_ms() + TEST_AFTER_MS)
+
+    def _schedule_check(self, server: str, when_ms: float) -> None:
+        self._schedule(when_ms, lambda: self._check(server))
+
+    def _check(self, server: str) -> None:
+        if not self._servers.has_established(server):
+            del self._tested_ms[server]
+            return
+        now_ms, received_ms = self._clock.now_ms(), self._servers.last_message_ms(server)
+        if now_ms < received_ms + TEST_AFTER_MS:
+            self._schedule_check(server, received_ms + TEST_AFTER_MS)
+        elif self._tested_ms[server] <= received_ms:
+            self._tested_ms[server] = now_ms
+            self._servers.request_sign_of_life(server)
+            self._schedule_check(server, now_ms + TEST_TIMEOUT_MS)
+        elif now_ms < self._tested_ms[server] + TEST_TIMEOUT_MS:
+            self._schedule_check(server, self._tested_ms[server] + TEST_TIMEOUT_MS)
+        else:
+            del self._tested_ms[server]
+            self._servers.interrupt_silent(server)
--- a/capershelf/net/links.py
+++ b/capershelf/net/links.py
@@ -167,8 +167,8 @@
 class Link:
     """A connection to one server that is reopened with backoff, or at once when a call needs it.
 
-    connect(), disconnect(), end(), send(), withdraw() and is_flushed() are called by the planner's thread,
-    the other methods by the poller's.
+    connect(), disconnect(), end(), send(), withdraw(), replace_connection() and is_flushed() are called by
+    the planner's thread, the other methods by the poller's.
     """
 
     def __init__(
@@ -206,7 +206,8 @@
         self._failures = 0
         self._connect_at_ms = math.inf  # when to connect if no call needs it earlier
         self._timer_at_ms = math.inf  # when the poller checks the connection's deadline
-        self._last_received_ms = self._last_report_ms = clock.now_ms()
+        self.last_message_ms = clock.now_ms()  # on any connection
+        self._last_received_ms = self._last_report_ms = self.last_message_ms
         self._report_count = 0  # load reports received unasked on this connection
         self._heartbeat_timeouts = 0  # on consecutive connections
         self._heartbeat_gap_ms = math.inf
@@ -252,6 +253,10 @@
             connection = self._connection
         return connection.withdraw(tag) if connection is not None else set()
 
+    def replace_connection(self) -> None:
+        """Replace the connection as after a missed heartbeat."""
+        self._poller.call_soon(self._replace_silent)
+
     def is_flushed(self) -> bool:
         """Whether the write queue is empty."""
         with self._lock:
@@ -538,6 +543,10 @@
             self._connect()
         return True
 
+    def _replace_silent(self) -> None:
+        if self._connection is not None and not self._replacing:
+            self._on_timeout()
+
     def _release_slot(self) -> None:
         """Free the replacement slot, if one is held: its attempt has succeeded, failed or been cancelled."""
         if self._holds_slot:
@@ -567,7 +576,7 @@
             self._start_connection(sock)
 
     def _message(self, line: bytes, epoch: int) -> None:
-        now_ms = self._clock.now_ms()
+        self.last_message_ms = now_ms = self._clock.now_ms()
         is_current = epoch == self._epoch  # false: a replaced connection that is still read
         if is_current:
             self._last_received_ms = now_ms
@@ -691,6 +700,16 @@
         if (link := self._links.get(server)) is not None:
             link.send(vocabulary.encode("ping", token, 1), epoch)
 
+    def last_message_ms(self, server: str) -> float:
+        """When a message was last received from the server; now if it has no link."""
+        link = self._links.get(server)
+        return link.last_message_ms if link is not None else self._clock.now_ms()
+
+    def replace_connection(self, server: str) -> None:
+        """Connect to the server anew, and drop the current connection once that has succeeded."""
+        if (link := self._links.get(server)) is not None:
+            link.replace_connection()
+
     def is_flushed(self) -> bool:
         """Whether the write queues of all links are empty."""
         return all(link.is_flushed() for link in self._links.values())
--- a/tests/test_planner_states.py
+++ b/tests/test_planner_states.py
@@ -108,6 +108,10 @@
         return ""
 
     def probe(self, server: str, epoch: int, token: str) -> None: ...
+    def replace_connection(self, server: str) -> None: ...
+
+    def last_message_ms(self, server: str) -> float:
+        return self.clock.now_ms()
 
 
 # Written out: hypothesis derives the seed from the test's source text otherwise, so a rename changes it.
--- a/tests/test_silent_server.py
+++ b/tests/test_silent_server.py
@@ -8,6 +8,7 @@
 import socket
 import threading
 from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
 from itertools import product
 from pathlib import Path
 
@@ -70,25 +71,26 @@
 class Trial:
     """A proxy process, one server for each case, and a call established at each."""
 
-    def __init__(self, folder: Path) -> None:
+    def __init__(self, folder: Path, may_probe: bool) -> None:
         self.loop = EventLoop()
         self.servers = [SilentServer(self.loop, case) for case in CASES]
         threading.Thread(target=self.loop.poller.run, daemon=True).start()
         listen = f"127.0.0.1:{free_port('127.0.0.1')}"
         path = folder / "config.json"
-        path.write_text(json.dumps(self._config(listen)))
+        path.write_text(json.dumps(self._config(listen, may_probe)))
         self.program = Program(path)
         self.program.wait_for_log("serves on")
         self.caller = Peer(socket.create_connection(parse_endpoint(listen)), Lines(), queue.SimpleQueue())
         self.told_after_ms: dict[str, float] = {}
 
-    def _config(self, listen: str) -> dict[str, object]:
+    def _config(self, listen: str, may_probe: bool) -> dict[str, object]:
         targets = [
             {"uid": f"s{n}", "endpoint": s.link.address, "pod_group": n, "state": "up", "boot_ms": 0}
             for n, s in enumerate(self.servers)
         ]
         pool = {"rev": 1, "all": True, "targets": targets}
         config = table("") | {"listen": listen, "known": {"rev": 1, "notices": [{"rev": 1, "pool": pool}]}}
+        config["settings"]["bounds"]["may-probe"] = may_probe
         pools = list(range(len(CASES)))
         config["settings"]["family-info"]["pools-by-class"] = [pools] * len(config["settings"]["categories"])
         return config
@@ -121,19 +123,27 @@
 
 
 @pytest.fixture(scope="module")
-def trial(tmp_path_factory: pytest.TempPathFactory) -> Iterator[Trial]:
-    made = Trial(tmp_path_factory.mktemp("silent"))
-    made.play()
+def trials(tmp_path_factory: pytest.TempPathFactory) -> Iterator[dict[bool, Trial]]:
+    """The same faults where booking servers may be probed and where they may not."""
+    made = {may_probe: Trial(tmp_path_factory.mktemp("silent"), may_probe) for may_probe in (True, False)}
+    with ThreadPoolExecutor() as pool:
+        list(pool.map(Trial.play, made.values()))
     yield made
-    made.end()
+    for trial in made.values():
+        trial.end()
 
 
-def test_callers_are_told_of_the_end_of_calls_at_a_server_that_fell_silent(trial: Trial) -> None:
+@pytest.mark.parametrize("may_probe", [True, False])
+def test_callers_are_told_of_the_end_of_calls_at_a_server_that_fell_silent(
+    trials: dict[bool, Trial], may_probe: bool
+) -> None:
+    trial = trials[may_probe]
     expected = [case for case in CASES if not case.startswith("draining")]
     late = [case for case in expected if trial.told_after_ms.get(case, math.inf) > DEADLINE_MS]
     assert not late, trial.program.log
 
 
-def test_calls_go_on_at_a_draining_server_that_still_answers_pings(trial: Trial) -> None:
+def test_calls_go_on_at_a_draining_server_that_still_answers_pings(trials: dict[bool, Trial]) -> None:
+    trial = trials[True]
     cut = [case for case in trial.told_after_ms if case.startswith("draining")]
     assert not cut, trial.program.log
