Take a server's load reports alone for no sign of life of its calls

Cause: the silence watch counted any message.

Fix: the link keeps the time of the last response, a message other than an unasked report; where pings are allowed the watch goes by that. Where they are not, reports have to do: nothing else can be asked for.

--- a/capershelf/core/model.py
+++ b/capershelf/core/model.py
@@ -140,8 +140,11 @@
 
     def probe(self, server: str, epoch: int, token: str) -> None: ...
 
-    def last_message_ms(self, server: str) -> float:
-        """When a message was last received, or the link was opened; now without a link."""
+    def last_sign_of_life_ms(self, server: str, count_reports: bool) -> float:
+        """When a message was last received, or the link was opened; now without a link.
+
+        count_reports: whether load reports sent unasked count, too.
+        """
 
     def replace_connection(self, server: str) -> None:
         """Connect anew, and drop the current connection once that has succeeded."""
--- a/capershelf/core/planner.py
+++ b/capershelf/core/planner.py
@@ -600,9 +600,9 @@
     def _established_at(server: model.ServerState) -> list[model.Call]:
         return [call for call in server.calls.values() if call.state is model.CallState.ESTABLISHED]
 
-    def last_message_ms(self, server_id: str) -> float:
-        """When a message was last received from the server."""
-        return self.servers.last_message_ms(server_id)
+    def last_sign_of_life_ms(self, server_id: str) -> float:
+        """When the server last showed that it handles calls; without pings its reports have to do."""
+        return self.servers.last_sign_of_life_ms(server_id, count_reports=not self._settings.may_probe)
 
     def request_sign_of_life(self, server_id: str) -> None:
         """Ping the server; where that is not allowed connect anew, as it reports on each new connection."""
--- a/capershelf/core/silence_watch.py
+++ b/capershelf/core/silence_watch.py
@@ -1,8 +1,8 @@
-"""Bounds how long calls stay established at a booking server from which nothing is received.
+"""Bounds how long calls stay established at a booking server that gives no sign of life.
 
 The heartbeat check of a link depends on what the link has learned of its server.  This check does not: it
-covers servers without a known heartbeat, servers that hang while connections to them succeed, and servers
-that refuse connections while the open one is silent.  Owned by the planner's thread.
+covers servers without a known heartbeat, servers that hang while connections to them succeed or load reports
+go on, and servers that refuse connections while the open one is silent.  Owned by the planner's thread.
 """
 
 from __future__ import annotations
@@ -25,8 +25,8 @@
     def has_established(self, server: str) -> bool:
         """Whether calls are established at the server."""
 
-    def last_message_ms(self, server: str) -> float:
-        """When a message was last received from the server."""
+    def last_sign_of_life_ms(self, server: str) -> float:
+        """When the server last showed that it handles calls."""
 
     def request_sign_of_life(self, server: str) -> None:
         """Make the server send something, if it can."""
@@ -60,10 +60,10 @@
         if not self._servers.has_established(server):
             del self._tested_ms[server]
             return
-        now_ms, received_ms = self._clock.now_ms(), self._servers.last_message_ms(server)
-        if now_ms < received_ms + TEST_AFTER_MS:
-            self._schedule_check(server, received_ms + TEST_AFTER_MS)
-        elif self._tested_ms[server] <= received_ms:
+        now_ms, alive_ms = self._clock.now_ms(), self._servers.last_sign_of_life_ms(server)
+        if now_ms < alive_ms + TEST_AFTER_MS:
+            self._schedule_check(server, alive_ms + TEST_AFTER_MS)
+        elif self._tested_ms[server] <= alive_ms:
             self._tested_ms[server] = now_ms
             self._servers.request_sign_of_life(server)
             self._schedule_check(server, now_ms + TEST_TIMEOUT_MS)
--- a/capershelf/net/links.py
+++ b/capershelf/net/links.py
@@ -206,7 +206,8 @@
         self._failures = 0
         self._connect_at_ms = math.inf  # when to connect if no call needs it earlier
         self._timer_at_ms = math.inf  # when the poller checks the connection's deadline
-        self.last_message_ms = clock.now_ms()  # on any connection
+        # On any connection; a response is a message other than a load report sent unasked.
+        self.last_message_ms = self.last_response_ms = clock.now_ms()
         self._last_received_ms = self._last_report_ms = self.last_message_ms
         self._report_count = 0  # load reports received unasked on this connection
         self._heartbeat_timeouts = 0  # on consecutive connections
@@ -587,7 +588,9 @@
             raise CloseConnectionError(
                 f"a message that can't be read: {problem}", invalid_message=True
             ) from problem
-        if is_current and isinstance(event, ServerReported) and not event.token:
+        if not isinstance(event, ServerReported) or event.token:
+            self.last_response_ms = now_ms
+        elif is_current:
             self._record_report(now_ms)
         if event is not None:
             self._emit(event)
@@ -700,10 +703,11 @@
         if (link := self._links.get(server)) is not None:
             link.send(vocabulary.encode("ping", token, 1), epoch)
 
-    def last_message_ms(self, server: str) -> float:
-        """When a message was last received from the server; now if it has no link."""
-        link = self._links.get(server)
-        return link.last_message_ms if link is not None else self._clock.now_ms()
+    def last_sign_of_life_ms(self, server: str, count_reports: bool) -> float:
+        """When a response, or any message, was last received from the server; now if it has no link."""
+        if (link := self._links.get(server)) is None:
+            return self._clock.now_ms()
+        return link.last_message_ms if count_reports else link.last_response_ms
 
     def replace_connection(self, server: str) -> None:
         """Connect to the server anew, and drop the current connection once that has succeeded."""
--- a/tests/test_planner_states.py
+++ b/tests/test_planner_states.py
@@ -110,7 +110,7 @@
     def probe(self, server: str, epoch: int, token: str) -> None: ...
     def replace_connection(self, server: str) -> None: ...
 
-    def last_message_ms(self, server: str) -> float:
+    def last_sign_of_life_ms(self, server: str, count_reports: bool) -> float:
         return self.clock.now_ms()
 
 
--- a/tests/test_silence_watch.py
+++ b/tests/test_silence_watch.py
@@ -21,7 +21,7 @@
     def has_established(self, server: str) -> bool:
         return self.established
 
-    def last_message_ms(self, server: str) -> float:
+    def last_sign_of_life_ms(self, server: str) -> float:
         return self.received_ms
 
     def request_sign_of_life(self, server: str) -> None:
--- a/tests/test_silent_server.py
+++ b/tests/test_silent_server.py
@@ -26,7 +26,7 @@
 HEARTBEAT_MS = 100.0
 LEARNED_AFTER_REPORTS = 8  # unsolicited reports on one connection, more than the proxy needs
 DEADLINE_MS = Contract().undelivered_end_ms + TIMING_SLACK_MS
-FAULTS = ("cut", "hung", "refusing", "reset and cut", "draining")
+FAULTS = ("cut", "hung", "refusing", "reset and cut", "draining", "reporting")
 CASES = [f"{fault}, heartbeat {known}" for fault, known in product(FAULTS, ("known", "unknown"))]
 
 
@@ -44,7 +44,8 @@
         self._report(connection)
 
     def _report(self, connection: LinkConnection) -> None:
-        if self.silent or not connection.open:
+        reports = not self.silent or self.case.startswith("reporting")
+        if not reports or not connection.open:
             return
         connection.send(encode_message("state", "0" * 16, fields={"load": "spare:90;total:100"}))
         self.reports += 1
@@ -138,7 +139,9 @@
     trials: dict[bool, Trial], may_probe: bool
 ) -> None:
     trial = trials[may_probe]
-    expected = [case for case in CASES if not case.startswith("draining")]
+    # Without pings, reports count as a sign of life.
+    excepted = ("draining",) if may_probe else ("draining", "reporting")
+    expected = [case for case in CASES if not case.startswith(excepted)]
     late = [case for case in expected if trial.told_after_ms.get(case, math.inf) > DEADLINE_MS]
     assert not late, trial.program.log
 
