Release an attempt at its server once the connection that was lost with it is replaced

What servers saw: a set-up of a call that already stood there. An answer lost with its connection (a message that can't be read, a reset) leaves the call standing at the server; the attempt ended here as reset, and after 200 ms the same call could be sent to the same server. It ran there until its natural end with no caller.

Cause: a release was sent only if such an answer was read later (LATE_ANSWER_MS).

Fix: an attempt that is reset with its connection leaves a pending release for that server, which is sent first on the next connection; no connection is opened for it.

The test of answers read late now has the connection come up before the answer, or the new release would hide what it checks; its assertion is the same.

--- a/capershelf/core/planner.py
+++ b/capershelf/core/planner.py
@@ -510,6 +510,9 @@
             call.not_before_ms = now_ms + self._settings.release_ms
         if attempt.epoch is not None and result is interface.Result.RESET:
             self.schedule(now_ms + LATE_ANSWER_MS, self.calls.record_reset(key, attempt.server))
+            if server is not None and server.epoch is None:
+                # The server may have answered it: the answer was lost with the connection.
+                server.pending_releases[call.request.id] = model.CAUSE_NORMAL
         logger.debug(
             "call {call}: attempt {attempt} at {server} ended: {result}",
             event="attempt-over",
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -23,6 +23,7 @@
 from tests.rig import listed, settings
 from tests.test_planner_states import FakeCaller, FakeServers
 from tests.test_stopping import (
+    SETTINGS,
     blocked_connection,
     list_update,
     make_planner,
@@ -464,16 +465,34 @@
         clock.advance(25.0)
         run_pending(planner)
     assert request(1).key not in planner.calls.by_key and len(caller.received) == 1
+    planner.inbox.put(model.LinkUp("s0", 2))
+    run_pending(planner)
     servers.in_flight.clear()
     servers.established[request(1).id] = "s0"  # the server answered just before it saw the connection close
     clock.advance(late_ms)
     run_pending(planner)
     planner.inbox.put(model.ServerAnswered("s0", request(1).id, "sdp", None, True))
-    planner.inbox.put(model.LinkUp("s0", 2))
     run_pending(planner)
     assert bool(servers.established) is (late_ms > 0.0) and len(caller.received) == 1
 
 
+def test_an_attempt_reset_with_its_connection_is_released_before_the_server_gets_the_call_again() -> None:
+    planner, servers, clock = make_planner()
+    planner.inbox.put(model.SetUpReceived(request(1), FakeCaller(False)))
+    run_pending(planner)
+    servers.in_flight.clear()
+    servers.established[request(1).id] = "s0"  # it answered, but the answer was lost with the connection
+    servers.not_before[request(1).id] = clock.now_ms() + SETTINGS.release_ms
+    planner.inbox.put(model.LinkDown("s0", 1))
+    planner.inbox.put(model.LinkUp("s0", 2))
+    run_pending(planner)
+    assert not servers.established
+    for _ in range(10):
+        clock.advance(25.0)
+        run_pending(planner)
+    assert servers.in_flight == {request(1).id: "s0"}
+
+
 def test_a_call_ended_by_its_caller_while_disconnected_is_released_on_the_next_connection() -> None:
     planner, servers, clock = make_planner()
     caller = FakeCaller(False)
