--- a/lab/fleet/processes.py
+++ b/lab/fleet/processes.py
@@ -34,7 +34,7 @@
         options: list[str],
         module: Sequence[str] = PROGRAM,
     ) -> None:
-        config = folder / f"{name}.json"
+        config = self._config = folder / f"{name}.json"
         config.write_text(json.dumps(table))
         self.log = folder / f"{name}.log"
         environ = {key: value for key, value in os.environ.items() if not key.startswith("NODE_")}
@@ -45,8 +45,19 @@
             "PYTHONPATH": str(ROOT),
         }
         with self.log.open("ab") as log:
+            # As in deploy/balancer.toml: a SIGHUP while the interpreter starts must not end the process.
             self._popen = subprocess.Popen(
-                [sys.executable, "-m", *module, "serve", *options],
+                [
+                    "/bin/sh",
+                    "-c",
+                    'trap "" HUP; exec "$@"',
+                    "sh",
+                    sys.executable,
+                    "-m",
+                    *module,
+                    "serve",
+                    *options,
+                ],
                 cwd=folder,
                 env=environ,
                 stdin=subprocess.DEVNULL,
@@ -54,6 +65,13 @@
                 stderr=log,
             )
 
+    def reload(self, table: dict[str, Any]) -> None:
+        """Replace the configuration file and send SIGHUP."""
+        replacement = self._config.with_suffix(".new")
+        replacement.write_text(json.dumps(table))
+        replacement.replace(self._config)
+        self.signal(signal.SIGHUP)
+
     def signal(self, number: signal.Signals) -> None:
         """Send a signal if the process still runs."""
         if self._popen.poll() is None:
--- a/lab/fleet/records.py
+++ b/lab/fleet/records.py
@@ -43,6 +43,7 @@
     ended_ms: float = math.inf  # the booking server sent the end of the established call
     released_ms: float = math.inf  # the proxy released the established call
     server_died_ms: float = math.inf
+    finished_ms: float = math.inf  # the established call ended at the server, whether or not it could say so
 
 
 class Outcome(enum.Enum):
@@ -71,6 +72,7 @@
     outcome_count: int = 0  # outcomes received
     end_notified_ms: float = math.inf  # the caller received the end of the established call
     interrupted: bool = False
+    given_up_ms: float = math.inf  # the caller released it or closed its connection before any outcome
 
     @property
     def deadline_ms(self) -> float:
--- /dev/null
+++ b/lab/fleet/rough_callers.py
@@ -0,0 +1,232 @@
+"""Callers that misbehave: broken messages, slow writers, early departures and crowds of short connections.
+
+Each acts on a connection of its own.  Set-ups that are complete are recorded like any other caller's.
+"""
+
+from __future__ import annotations
+
+import json
+import random
+import socket
+from collections.abc import Callable
+from typing import Any
+
+from lab.fleet.network import EventLoop, LineStream
+from lab.fleet.records import CallerSetUp, DayRecord, Outcome, ProxyRun
+from lab.fleet.servers import encode_message
+
+GARBAGE = (
+    b"\xfe\xff\n",
+    b"{}\n",
+    b'{"type":"setup","id":"12"}\n',
+    b'{"type":"setup","id":"00000000000000ff","fields":{"class":"none","left":"1"},"sdp":"v"}\n',
+    b"[" * 400 + b"\n",
+    b"y" * 20_000 + b"\n",
+    b'{"type":"set',
+)
+REFUSALS = (34, 42, 102)
+CROSSED_CLOSE_MS = 50.0
+CROWD_CONNECTIONS = 40  # at one proxy at a time
+CROWD_PAUSE_MS = 5.0  # between two connections of a crowd
+KINDS = ("slot-lookup", "slot-confirm")
+
+
+class RoughCallers:
+    """The misbehaving callers of one proxy."""
+
+    def __init__(
+        self,
+        loop: EventLoop,
+        record: DayRecord,
+        proxy: int,
+        address: tuple[str, int],
+        current_run: Callable[[], ProxyRun | None],
+        deadline_ms: float,
+        places: int,
+        rng: random.Random,
+    ) -> None:
+        self.loop, self.record, self.proxy, self.address = loop, record, proxy, address
+        self._current_run, self._deadline_ms, self._places, self._rng = current_run, deadline_ms, places, rng
+        self._streams: list[LineStream] = []
+        self._setups: dict[str, CallerSetUp] = {}
+        self._streams_of: dict[str, LineStream] = {}  # by call id
+        self._closed = False
+        self.on_unknown: Callable[[dict[str, Any]], None] = lambda message: (
+            None
+        )  # of the proxy's other callers
+        self._acts = (self._garbage, self._half_message, self._slow_writer, self._give_up, self._hang_up)
+
+    @property
+    def pending_count(self) -> int:
+        """Set-ups without an outcome whose callers still wait."""
+        return sum(s.outcome is Outcome.NONE and s.given_up_ms == float("inf") for s in self._setups.values())
+
+    def start(self, per_s: float) -> None:
+        """Misbehave at this mean rate until close() is called."""
+        self._schedule_act(per_s)
+
+    def _schedule_act(self, per_s: float) -> None:
+        def act() -> None:
+            if not self._closed:
+                self._rng.choice(self._acts)()
+                self._schedule_act(per_s)
+
+        self.loop.after(1000.0 * self._rng.expovariate(per_s), act)
+
+    def crowd(self, count: int) -> None:
+        """Open connections one after another, each with one call, and close each after its outcome."""
+
+        def connect_next(remaining: int) -> None:
+            if remaining == 0 or self._closed:
+                return
+            if len(self._streams) < CROWD_CONNECTIONS and (stream := self._connect()) is not None:
+                self._set_up(stream)
+            self.loop.after(CROWD_PAUSE_MS, connect_next, remaining - 1)
+
+        connect_next(count)
+
+    def stop(self) -> None:
+        """Begin nothing new."""
+        self._closed = True
+
+    def close(self) -> None:
+        """Close all connections."""
+        for stream in list(self._streams):
+            stream.close()
+        self._streams.clear()
+
+    # -- kinds of misbehaviour ------------------------------------------------------------------------
+    def _garbage(self) -> None:
+        if (stream := self._connect()) is not None:
+            stream.write(self._rng.choice(GARBAGE))
+            self.loop.after(self._rng.uniform(0.0, 1500.0), self._close_stream, stream)
+
+    def _half_message(self) -> None:
+        """Write half of a set-up and close."""
+        if (stream := self._connect()) is not None:
+            data, _ = self._new_set_up()
+            stream.write(data[: self._rng.randrange(1, len(data) - 1)])
+            self.loop.after(self._rng.uniform(0.0, 300.0), self._close_stream, stream)
+
+    def _slow_writer(self) -> None:
+        """Write a valid set-up in pieces."""
+        if (stream := self._connect()) is not None:
+            self._set_up(stream, self._rng.uniform(5.0, 200.0))
+
+    def _give_up(self) -> None:
+        """Release a set-up soon after sending it."""
+        if (stream := self._connect()) is None:
+            return
+        setup = self._set_up(stream)
+
+        def give_up() -> None:
+            if setup.outcome is Outcome.NONE and stream.open:
+                setup.given_up_ms = self.loop.now_ms
+                stream.write(encode_message("release", setup.call, cause=16))
+                self.loop.after(100.0, self._close_stream, stream)
+
+        self.loop.after(self._rng.uniform(0.0, 120.0), give_up)
+
+    def _hang_up(self) -> None:
+        """Close the connection under a set-up."""
+        if (stream := self._connect()) is None:
+            return
+        setup = self._set_up(stream)
+
+        def hang_up() -> None:
+            if setup.outcome is Outcome.NONE:
+                setup.given_up_ms = self.loop.now_ms
+                self._close_stream(stream)
+
+        self.loop.after(self._rng.choice((0.0, 1.0, 30.0)), hang_up)
+
+    # -- connections ----------------------------------------------------------------------------------
+    def _connect(self) -> LineStream | None:
+        run = self._current_run()
+        if run is None or not run.ready_ms <= self.loop.now_ms < run.term_ms + 300.0:
+            return None
+        sock = socket.socket()
+        try:
+            sock.connect(self.address)
+        except OSError:
+            sock.close()
+            return None
+        stream = LineStream(
+            self.loop,
+            sock,
+            lambda data, first_byte_ms: self._on_message(stream, data),
+            lambda: self._on_closed(stream),
+        )
+        self._streams.append(stream)
+        return stream
+
+    def _close_stream(self, stream: LineStream) -> None:
+        stream.close()
+        if stream in self._streams:
+            self._streams.remove(stream)
+
+    def _new_set_up(self) -> tuple[bytes, CallerSetUp]:
+        run = self._current_run()
+        assert run is not None
+        call = f"{self._rng.getrandbits(64):016x}"
+        kind = self._rng.choice(KINDS)
+        setup = CallerSetUp(call, self.proxy, run.number, kind, float("inf"), self._deadline_ms)
+        fields = {
+            "class": kind,
+            "left": f"{self._deadline_ms:.0f}",
+            "key": f"r{call[:6]}",
+            "extras": f"dest:{self._rng.randrange(self._places)};width:1;via:-1",
+        }
+        return encode_message("setup", call, fields=fields, sdp=f"asked for {call}\r\n"), setup
+
+    def _set_up(self, stream: LineStream, piece_delay_ms: float | None = None) -> CallerSetUp:
+        data, setup = self._new_set_up()
+        self._setups[setup.call], self._streams_of[setup.call] = setup, stream
+
+        def written() -> None:
+            setup.sent_ms = self.loop.now_ms
+            self.record.setups.append(setup)
+
+        if piece_delay_ms is not None:
+            stream.write_in_pieces(data, piece_delay_ms, written)
+        elif stream.write(data):
+            written()
+        return setup
+
+    def _on_message(self, stream: LineStream, data: bytes) -> None:
+        self.take(json.loads(data), stream)
+
+    def take(self, message: dict[str, Any], stream: LineStream | None = None) -> None:
+        """Handle a message; without a stream it came on a connection of the proxy's other callers."""
+        setup = self._setups.get(message.get("id", ""))
+        if setup is None:
+            if stream is not None:
+                self.on_unknown(message)
+            return
+        if message["type"] == "answer":
+            setup.outcome_count += 1
+            setup.outcome_ms = min(setup.outcome_ms, self.loop.now_ms)
+            setup.outcome, setup.description = Outcome.ESTABLISHED, message.get("sdp", "")
+        elif message["type"] == "release":
+            if setup.outcome is Outcome.ESTABLISHED:
+                setup.end_notified_ms = min(setup.end_notified_ms, self.loop.now_ms)
+                setup.interrupted = message.get("cause") != 16
+            elif setup.given_up_ms == float("inf"):
+                setup.outcome_count += 1
+                setup.outcome_ms = min(setup.outcome_ms, self.loop.now_ms)
+                refused = message.get("cause") in REFUSALS
+                setup.outcome = Outcome.REFUSED if refused else Outcome.FAILED
+            if stream is not None:
+                self._close_stream(stream)
+
+    def _on_closed(self, stream: LineStream) -> None:
+        """The proxy closed the connection: what is unanswered is lost, unless it crossed the close."""
+        self._streams.remove(stream)
+        run = self._current_run()
+        was_killed = run is not None and run.killed_ms <= self.loop.now_ms
+        for setup in self._setups.values():
+            if self._streams_of.get(setup.call) is not stream or setup.outcome is not Outcome.NONE:
+                continue
+            if 0.0 <= self.loop.now_ms - setup.sent_ms <= CROSSED_CLOSE_MS and not was_killed:
+                self.record.setups.remove(setup)
+            setup.outcome = Outcome.LOST
