Ignore signals once the stop is over, as the interpreter's exit restores their default action

Cause: at its finalization the interpreter restores the default action of every signal with a handler, and the default of SIGHUP and SIGTERM ends the process. Signals that are ignored stay ignored.

Fix: after the last signal that matters, serve ignores those it handled.

--- a/capershelf/cli.py
+++ b/capershelf/cli.py
@@ -88,6 +88,7 @@
     if stream is not None:
         stream.start(node)
     handle_signals(signals, node, stream, path)
+    signals.ignore()
 
 
 def handle_signals(signals: Signals, node: Node, stream: Stream | None, path: str | None) -> None:
--- a/capershelf/signals.py
+++ b/capershelf/signals.py
@@ -19,7 +19,8 @@
     def __init__(self, numbers: Iterable[int]) -> None:
         self._reader, self._writer = os.pipe()
         os.set_blocking(self._writer, False)  # a full pipe already holds far more signals than need handling
-        for number in numbers:
+        self._numbers = tuple(numbers)
+        for number in self._numbers:
             signal.signal(number, lambda received, _: None)
         signal.set_wakeup_fd(self._writer, warn_on_full_buffer=False)
 
@@ -30,3 +31,11 @@
     def put(self, number: int) -> None:
         """Add a number to the queue."""
         os.write(self._writer, bytes([number]))
+
+    def ignore(self) -> None:
+        """Ignore the signals from now on.
+
+        At its exit the interpreter restores the default action of handled signals, which ends the process.
+        """
+        for number in self._numbers:
+            signal.signal(number, signal.SIG_IGN)
--- a/lab/fleet/servers.py
+++ b/lab/fleet/servers.py
@@ -342,8 +342,12 @@
             if taken:
                 held.attempt.ended_ms = min(held.attempt.ended_ms, self.loop.now_ms)
             # It is sent again on the next connection, as the proxy may not have read it on this one.
-            if self.alive and not is_repeated:
+            if not self.alive or is_repeated:
+                return
+            if taken:
                 self._undelivered_ends.append(held)
+            else:
+                self._send_call_end(held, connection)
 
         target.send(
             encode_message("release", held.attempt.call, cause=16, fields={"load": self._load_field()}), done
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -13,6 +13,7 @@
 import subprocess
 import sys
 import threading
+import time
 import tomllib
 from collections.abc import Callable, Iterator, Sequence
 from pathlib import Path
@@ -125,6 +126,18 @@
     assert program.process.wait(PATIENCE_S) == 0
 
 
+@pytest.mark.parametrize("number", [signal.SIGHUP, signal.SIGTERM])
+def test_signals_until_the_very_end_of_a_stop_do_not_kill_the_process(
+    run: Callable[[str], tuple[Program, Path]], number: signal.Signals
+) -> None:
+    program, _ = run("")
+    program.process.send_signal(signal.SIGTERM)
+    while program.process.poll() is None:  # the interpreter's own exit is a few milliseconds long
+        program.process.send_signal(number)
+        time.sleep(0.0005)
+    assert program.process.returncode == 0
+
+
 def signal_thread(process: subprocess.Popen[str], number: int) -> None:
     """Signal a thread other than the main one; the system may do so for a signal to the process."""
     other = next(int(tid) for tid in os.listdir(f"/proc/{process.pid}/task") if int(tid) != process.pid)
