Tell the end of a call on any connection that its caller has by then

A call whose caller had no other connection when its own closed was detached, and undelivered ends went out only when another connection opened after the end. An end was also written into a connection whose close had not been read, and the other connection was picked without looking whether it was closing.

Fix: the detached call keeps its closed connection, which finds the host's others when the call ends; an end is not written to a connection that its peer has closed; the other connection has to be reachable, one that has sent a message is preferred.

--- a/capershelf/core/planner.py
+++ b/capershelf/core/planner.py
@@ -280,7 +280,9 @@
             elif caller.calls_outlive_connection or call.state is model.CallState.OPEN:
                 call.caller = None
             else:
-                call.caller, call.lost_caller_host = caller.other_connection(), caller.host
+                # Kept if there is no other connection: one may have been opened by the time the call ends.
+                call.caller = caller.other_connection() or caller
+                call.lost_caller_host = caller.host
 
     def _caller_rejected(self, caller: model.Caller) -> None:
         for call in self.calls.for_caller(caller):
--- a/capershelf/fronts/listener.py
+++ b/capershelf/fronts/listener.py
@@ -175,9 +175,11 @@
         self._slot_freed.set()
 
     def _other_session_of(self, caller: Session) -> Session | None:
-        """Another open session from the same caller host."""
+        """Another reachable session from the same caller host, one that has sent a message if possible."""
         with self._lock:
-            return next((s for s in self._sessions if s is not caller and s.host == caller.host), None)
+            others = [s for s in self._sessions if s is not caller and s.host == caller.host]
+        others.sort(key=lambda session: session.awaiting_first_message)
+        return next((session for session in others if session.is_reachable()), None)
 
     def stop_accepting(self) -> None:
         """Close the listening socket, first admitting the connections in its backlog.
--- a/capershelf/fronts/session.py
+++ b/capershelf/fronts/session.py
@@ -170,6 +170,10 @@
         """Another open connection of the same caller, if any of them may take its messages."""
         return None if self.calls_outlive_connection else self._context.other_session_of(self)
 
+    def is_reachable(self) -> bool:
+        """Whether messages sent now can still reach the caller, as far as known."""
+        return not self._closing and not self.connection.peer_has_closed()
+
     def is_waiting(self, call_id: str) -> bool:
         """Whether the caller still waits for the call's outcome.
 
@@ -202,6 +206,8 @@
                 self._answered_calls += 1
                 self._unusable_set_ups = max(0, self._unusable_set_ups - 1)
                 self._message_tokens += TOKENS_PER_ANSWER
+        if isinstance(message, model.Ended) and not self.calls_outlive_connection and not self.is_reachable():
+            return False  # another connection of the caller may take it
         return self.connection.send(vocabulary.encode_caller_message(message))
 
     def call_ended(self, call_id: str) -> None:
