Reset attempts on a link that is replaced when its server is listed again

What callers saw: a server that was removed and listed again, or listed at another address, got a new link; attempts on the old connection had no end but their time-out, and set-ups until the new connection came up were discarded.

Cause: Links.open() closes the old link for good, and a link closed so reports no LinkDown; the planner kept its epoch.

Fix: the planner handles the replaced link as down, which also reconnects at once where calls are.

Measured: the new test fails without the change (the attempt is still out) and passes with it; test_call_ends, test_loopback, test_subset_running passed.

--- a/capershelf/core/planner.py
+++ b/capershelf/core/planner.py
@@ -720,6 +720,8 @@
                     server.draining = listed.status is not interface.ServerStatus.ACTIVE
                 server.endpoint, server.removed = located.endpoint, False
                 self.servers.open(listed.server, located.endpoint)
+                if server.epoch is not None:  # a replaced link does not report the end of its connection
+                    self._link_down(model.LinkDown(server.id, server.epoch))
             if server is not None and listed.started_ms is not None and listed.started_ms > server.started_ms:
                 self._server_restarted(server, listed.started_ms)
         if event.complete:
--- a/tests/test_call_ends.py
+++ b/tests/test_call_ends.py
@@ -7,9 +7,12 @@
 
 import pytest
 
+from capershelf import interface
 from capershelf.core import model
 from tests.peers import PATIENCE_S, NodeHarness, Peer, until
-from tests.test_stopping import ListenerRig
+from tests.rig import listed
+from tests.test_planner_states import FakeCaller
+from tests.test_stopping import ListenerRig, make_planner, request, run_pending
 
 A, B = (f"{n:016x}" for n in range(0xA0, 0xA2))
 
@@ -68,3 +71,18 @@
     assert other.receive()["id"] == A
     rig.listener.stop_accepting()
     rig.listener.close_all()
+
+
+def test_an_attempt_on_a_link_that_is_replaced_with_its_servers_entry_is_reset_at_once() -> None:
+    planner, servers, _ = make_planner()
+    planner.inbox.put(model.SetUpReceived(request(1), FakeCaller(False)))
+    run_pending(planner)
+    assert servers.in_flight == {request(1).id: "s0"}
+    servers.end_attempt(request(1).id, True)  # the old connection is closed
+    for version, status in ((3, interface.ServerStatus.REMOVED), (4, interface.ServerStatus.ACTIVE)):
+        located = model.LocatedServer(listed("s0", 0, status), "127.0.0.1:1")
+        planner.submit_update(model.ServerListUpdate(version, False, (located,)))
+    planner.step()
+    call = planner.calls.by_key[request(1).key]
+    assert call.attempt is None or call.attempt.number == 1
+    assert planner._server_states["s0"].epoch is None
