Ping a server for its calls only where its load reports can't be trusted

Change: reports are a sign of life again, except the one that begins each connection, and except where an attempt that was sent to the server has remained unanswered since its last response: then only responses count, and the watch is checked at once.

--- a/capershelf/core/planner.py
+++ b/capershelf/core/planner.py
@@ -309,6 +309,8 @@
             logger.warning(
                 "call {call}: no outcome by its deadline", event="call-expired", call=call.request.id
             )
+            if call.attempt is not None:
+                self._note_unanswered(call.attempt)
             self._abandon(call, interface.Result.TIMEOUT)
             self._notify_caller(call, model.Refused(call.request.id))
         elif call.state is model.CallState.ESTABLISHED and isinstance(call.undelivered, model.Answered):
@@ -323,17 +325,23 @@
 
     def _notify_caller(self, call: model.Call, message: model.CallerMessage) -> bool:
         """Deliver the message to the call's caller; False, and the caller detached, if that fails."""
-        if (caller := call.caller) is not None:
-            if caller.notify(message):
-                return True
-            if (
-                isinstance(message, model.Ended)
-                and (other := caller.other_connection()) is not None
-                and other.notify(message)
-            ):
-                return True
+        caller = call.caller
+        if caller is None:
+            return False
+        receiver = caller if caller.notify(message) else None
+        if receiver is None and isinstance(message, model.Ended):
+            other = caller.other_connection()
+            receiver = other if other is not None and other.notify(message) else None
+        logger.debug(
+            "call {call}: {outcome} sent to {peer}",
+            event="caller-notified",
+            call=call.request.id,
+            outcome=type(message).__name__.lower(),
+            peer=receiver.name if receiver is not None else "nobody",
+        )
+        if receiver is None:
             call.caller, call.lost_caller_host = None, "" if caller.calls_outlive_connection else caller.host
-        return False
+        return receiver is not None
 
     def _end_without_answer(self, call: model.Call, message: model.Refused | model.Failed) -> None:
         """End the call with a negative outcome, kept until the call's deadline if it cannot be delivered."""
@@ -606,8 +614,24 @@
         return [call for call in server.calls.values() if call.state is model.CallState.ESTABLISHED]
 
     def last_sign_of_life_ms(self, server_id: str) -> float:
-        """When the server last showed that it handles calls; without pings its reports have to do."""
-        return self.servers.last_sign_of_life_ms(server_id, count_reports=not self._settings.may_probe)
+        """When the server last showed that it handles calls.
+
+        Its load reports show that as long as no attempt there has remained unanswered, but the one that
+        begins each connection does not.  Where pings are not allowed, reports are all that can be asked for.
+        """
+        signs = self.servers.signs_of_life(server_id)
+        if not self._settings.may_probe:
+            return signs.message_ms
+        if self._server_states[server_id].unanswered_ms > signs.response_ms:
+            return signs.response_ms
+        return signs.after_first_report_ms
+
+    def _note_unanswered(self, attempt: model.Attempt) -> None:
+        """An attempt ends because its server has not answered it in time."""
+        server = self._server_states.get(attempt.server)
+        if server is not None and attempt.epoch is not None:
+            server.unanswered_ms = self.clock.now_ms()
+            self._silence_watch.check(server.id)
 
     def request_sign_of_life(self, server_id: str) -> None:
         """Ping the server; where that is not allowed connect anew, as it reports on each new connection."""
@@ -879,6 +903,7 @@
             case interface.Cancel(key, number):
                 call = self.calls.by_key.get(key)
                 if call is not None and call.attempt is not None and call.attempt.number == number:
+                    self._note_unanswered(call.attempt)
                     self._end_attempt(call, interface.Result.CANCELLED)
             case interface.Probe(server_id):
                 self._probe(server_id)
@@ -1014,6 +1039,7 @@
 
     def _attempt_timed_out(self, call: model.Call, attempt: model.Attempt) -> None:
         if call.attempt is attempt:
+            self._note_unanswered(attempt)
             self._end_attempt(call, interface.Result.TIMEOUT)
 
     def _connect_timed_out(self, call: model.Call, attempt: model.Attempt) -> None:
--- a/capershelf/core/silence_watch.py
+++ b/capershelf/core/silence_watch.py
@@ -9,6 +9,7 @@
 
 import math
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Protocol
 
 from capershelf.core.clock import Clock
@@ -35,6 +36,14 @@
         """End the calls established at the server."""
 
 
+@dataclass(slots=True)
+class Watch:
+    """The state of the watch over one server."""
+
+    timer: Timer
+    tested_ms: float = -math.inf  # when it was last tested
+
+
 class SilenceWatch:
     """Tests servers that have been silent with calls established there, and gives up those that stay so."""
 
@@ -45,30 +54,38 @@
         servers: WatchedServers,
     ) -> None:
         self._clock, self._schedule, self._servers = clock, schedule, servers
-        self._tested_ms: dict[str, float] = {}  # last test by watched server; -inf: none
+        self._watches: dict[str, Watch] = {}
 
     def watch(self, server: str) -> None:
         """Watch the server for as long as calls are established there."""
-        if server not in self._tested_ms:
-            self._tested_ms[server] = -math.inf
-            self._schedule_check(server, self._clock.now_ms() + TEST_AFTER_MS)
+        if server not in self._watches:
+            self._watches[server] = Watch(self._schedule_check(server, self._clock.now_ms() + TEST_AFTER_MS))
 
-    def _schedule_check(self, server: str, when_ms: float) -> None:
-        self._schedule(when_ms, lambda: self._check(server))
+    def check(self, server: str) -> None:
+        """Check a watched server now, as its last sign of life may count for less than it did."""
+        if (watch := self._watches.get(server)) is not None:
+            watch.timer.cancel()
+            self._check(server)
+
+    def _schedule_check(self, server: str, when_ms: float) -> Timer:
+        return self._schedule(when_ms, lambda: self._check(server))
 
     def _check(self, server: str) -> None:
         if not self._servers.has_established(server):
-            del self._tested_ms[server]
+            del self._watches[server]
             return
+        watch = self._watches[server]
         now_ms, alive_ms = self._clock.now_ms(), self._servers.last_sign_of_life_ms(server)
         if now_ms < alive_ms + TEST_AFTER_MS:
-            self._schedule_check(server, alive_ms + TEST_AFTER_MS)
-        elif self._tested_ms[server] <= alive_ms:
-            self._tested_ms[server] = now_ms
+            next_ms = alive_ms + TEST_AFTER_MS
+        elif watch.tested_ms <= alive_ms:
+            watch.tested_ms = now_ms
             self._servers.request_sign_of_life(server)
-            self._schedule_check(server, now_ms + TEST_TIMEOUT_MS)
-        elif now_ms < self._tested_ms[server] + TEST_TIMEOUT_MS:
-            self._schedule_check(server, self._tested_ms[server] + TEST_TIMEOUT_MS)
+            next_ms = now_ms + TEST_TIMEOUT_MS
+        elif now_ms < watch.tested_ms + TEST_TIMEOUT_MS:
+            next_ms = watch.tested_ms + TEST_TIMEOUT_MS
         else:
-            del self._tested_ms[server]
+            del self._watches[server]
             self._servers.interrupt_silent(server)
+            return
+        watch.timer = self._schedule_check(server, next_ms)
--- a/capershelf/net/links.py
+++ b/capershelf/net/links.py
@@ -19,7 +19,7 @@
 from loguru import logger
 
 from capershelf.core.clock import Clock
-from capershelf.core.model import Event, LinkDown, LinkUp, ServerReported, SetUp, WriteGate
+from capershelf.core.model import Event, LinkDown, LinkUp, ServerReported, SetUp, SignsOfLife, WriteGate
 from capershelf.net import vocabulary
 from capershelf.net.addresses import AddressInfo, parse_endpoint, resolve
 from capershelf.net.connection import Connection, start_detached_thread, start_thread
@@ -206,9 +206,9 @@
         self._failures = 0
         self._connect_at_ms = math.inf  # when to connect if no call needs it earlier
         self._timer_at_ms = math.inf  # when the poller checks the connection's deadline
-        # On any connection; a response is a message other than a load report sent unasked.
-        self.last_message_ms = self.last_response_ms = clock.now_ms()
-        self._last_received_ms = self._last_report_ms = self.last_message_ms
+        # On any connection.
+        self._last_message_ms = self._last_response_ms = self._last_later_report_ms = clock.now_ms()
+        self._last_received_ms = self._last_report_ms = self._last_message_ms
         self._report_count = 0  # load reports received unasked on this connection
         self._heartbeat_timeouts = 0  # on consecutive connections
         self._heartbeat_gap_ms = math.inf
@@ -254,6 +254,11 @@
             connection = self._connection
         return connection.withdraw(tag) if connection is not None else set()
 
+    def signs_of_life(self) -> SignsOfLife:
+        """When messages were last received.  Thread-safe."""
+        response_ms = self._last_response_ms
+        return SignsOfLife(self._last_message_ms, max(response_ms, self._last_later_report_ms), response_ms)
+
     def replace_connection(self) -> None:
         """Replace the connection as after a missed heartbeat."""
         self._poller.call_soon(self._replace_silent)
@@ -577,7 +582,7 @@
             self._start_connection(sock)
 
     def _message(self, line: bytes, epoch: int) -> None:
-        self.last_message_ms = now_ms = self._clock.now_ms()
+        self._last_message_ms = now_ms = self._clock.now_ms()
         is_current = epoch == self._epoch  # false: a replaced connection that is still read
         if is_current:
             self._last_received_ms = now_ms
@@ -589,9 +594,11 @@
                 f"a message that can't be read: {problem}", invalid_message=True
             ) from problem
         if not isinstance(event, ServerReported) or event.token:
-            self.last_response_ms = now_ms
+            self._last_response_ms = now_ms
         elif is_current:
             self._record_report(now_ms)
+            if self._report_count > 1:
+                self._last_later_report_ms = now_ms
         if event is not None:
             self._emit(event)
 
@@ -703,11 +710,12 @@
         if (link := self._links.get(server)) is not None:
             link.send(vocabulary.encode("ping", token, 1), epoch)
 
-    def last_sign_of_life_ms(self, server: str, count_reports: bool) -> float:
-        """When a response, or any message, was last received from the server; now if it has no link."""
+    def signs_of_life(self, server: str) -> SignsOfLife:
+        """When messages were last received from the server; now if it has no link."""
         if (link := self._links.get(server)) is None:
-            return self._clock.now_ms()
-        return link.last_message_ms if count_reports else link.last_response_ms
+            now_ms = self._clock.now_ms()
+            return SignsOfLife(now_ms, now_ms, now_ms)
+        return link.signs_of_life()
 
     def replace_connection(self, server: str) -> None:
         """Connect to the server anew, and drop the current connection once that has succeeded."""
--- a/tests/test_silence_watch.py
+++ b/tests/test_silence_watch.py
@@ -74,3 +74,17 @@
     rig.watch.watch("s0")
     rig.watch.watch("s0")
     assert len(rig.timers) == 1
+
+
+def test_a_sign_of_life_that_counts_for_less_by_now_is_checked_at_once() -> None:
+    rig = WatchRig()
+    rig.received_ms += TEST_AFTER_MS
+    rig.advance(TEST_AFTER_MS)
+    rig.received_ms -= TEST_AFTER_MS  # what was received last turns out to be no response
+    rig.watch.check("s0")
+    assert rig.tests == 1
+    rig.advance(TEST_TIMEOUT_MS)
+    assert rig.interruptions == 1
+    assert rig.timers.next_ms == float("inf") or not rig.watch._watches
+    rig.watch.check("s0")  # not watched any more
+    assert (rig.tests, rig.interruptions) == (1, 1)
