Play pipelined set-ups, callers that change connections and little time left in the soak

Change: rough callers pipeline set-ups in pieces, close their connection once a call is established and open another for its end, and leave 50 or 300 ms; a server may have two kinds of fault.

--- a/lab/fleet/network.py
+++ b/lab/fleet/network.py
@@ -99,9 +99,9 @@
         self._inbound = bytearray()
         self._first_byte_ms = 0.0  # of the buffered partial line
         self._outbound = bytearray()
-        self._pieces: deque[bytes] = deque()  # still to be written, one after a delay each
+        # Still to be written, one after a delay each, and what to call once it is.
+        self._pieces: deque[tuple[bytes, Callable[[], None] | None]] = deque()
         self._piece_delay_ms, self._writing_pieces = 0.0, False
-        self._on_pieces_written: Callable[[], None] | None = None
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         loop.poller.register(sock, select.POLLIN, self._on_ready)
@@ -134,7 +134,7 @@
     def write(self, data: bytes) -> bool:
         """Write or queue the data; return whether the socket accepted all of it immediately."""
         if self._writing_pieces:
-            self._pieces.append(data)
+            self._pieces.append((data, None))
             return self.open
         return self._write_now(data)
 
@@ -150,11 +150,15 @@
     def write_in_pieces(
         self, data: bytes, delay_ms: float, on_written: Callable[[], None] | None = None
     ) -> None:
-        """Write the data in pieces with delays between them; what is written meanwhile comes after it."""
+        """Write the data in pieces with delays between them; what is written meanwhile comes after it.
+
+        on_written is called with the last piece.
+        """
         size = max(1, math.ceil(len(data) / PIECES))
-        self._pieces += [data[start : start + size] for start in range(0, len(data), size)]
+        pieces = [data[start : start + size] for start in range(0, len(data), size)]
+        self._pieces += [(piece, None) for piece in pieces[:-1]]
+        self._pieces.append((pieces[-1], on_written))
         self._piece_delay_ms = delay_ms
-        self._on_pieces_written = on_written
         if not self._writing_pieces:
             self._writing_pieces = True
             self._write_next_piece()
@@ -162,13 +166,14 @@
     def _write_next_piece(self) -> None:
         if not self.open:
             return
-        self._write_now(self._pieces.popleft())
+        data, on_written = self._pieces.popleft()
+        self._write_now(data)
+        if on_written is not None:
+            on_written()
         if self._pieces:
             self.loop.after(self._piece_delay_ms, self._write_next_piece)
-            return
-        self._writing_pieces = False
-        if self._on_pieces_written is not None:
-            self._on_pieces_written()
+        else:
+            self._writing_pieces = False
 
     def _flush(self) -> None:
         try:
@@ -340,6 +345,7 @@
         self.server_end_open = True
         self._inbound: deque[tuple[float, Callable[[], None]]] = deque()  # due time and action
         self._outbound: deque[tuple[float, bytes, Callable[[bool], None] | None]] = deque()
+        self._fragments_done: deque[Callable[[bool], None] | None] = deque()  # of messages written in part
         self._timer_set = False
         self.stream = LineStream(self.loop, sock, self._line_received, self._stream_closed)
 
@@ -364,8 +370,9 @@
         if self in self.link.connections:
             self.link.connections.remove(self)
             self.on_closed(at_ms)
-        unsent, self._outbound = self._outbound, deque()
-        for _, _, done in unsent:
+        unsent, self._outbound = [one[2] for one in self._outbound], deque()
+        fragmented, self._fragments_done = self._fragments_done, deque()
+        for done in (*fragmented, *unsent):
             if done is not None:
                 done(False)
 
@@ -384,11 +391,12 @@
             self._inbound.popleft()[1]()
         while self._outbound and self._outbound[0][0] <= self.loop.now_ms:
             _, data, done = self._outbound.popleft()
+            if self.link.fragmented and self.open:
+                self._fragments_done.append(done)
+                self.stream.write_in_pieces(data, PIECE_DELAY_MS, self._fragments_written)
+                continue
             taken = self.open
-            if self.link.fragmented:
-                self.stream.write_in_pieces(data, PIECE_DELAY_MS)
-            else:
-                self.stream.write(data)
+            self.stream.write(data)
             if done is not None:
                 done(taken)
         due_times = [
@@ -403,6 +411,11 @@
         self._timer_set = False
         self.deliver_due()
 
+    def _fragments_written(self) -> None:
+        done = self._fragments_done.popleft()
+        if done is not None:
+            done(True)
+
     def orphan(self) -> None:
         """Drop the booking server's end during a partition; the proxy can't detect it yet."""
         self.on_line, self.server_end_open = (lambda line, first_byte_ms, read_ms: None), False
--- a/lab/fleet/rough_callers.py
+++ b/lab/fleet/rough_callers.py
@@ -11,7 +11,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from lab.fleet.network import EventLoop, LineStream
+from lab.fleet.network import PIECES, EventLoop, LineStream
 from lab.fleet.records import CallerSetUp, DayRecord, Outcome, ProxyRun
 from lab.fleet.servers import encode_message
 
@@ -27,6 +27,8 @@
 REFUSALS = (34, 42, 102)
 CROSSED_CLOSE_MS = 50.0
 CROWD_CONNECTIONS = 40  # at one proxy at a time
+PIPELINED = 5  # set-ups written at once
+SHORT_REMAINING_MS = (50.0, 300.0)  # of callers with little time left
 CROWD_PAUSE_MS = 5.0  # between two connections of a crowd
 KINDS = ("slot-lookup", "slot-confirm")
 
@@ -54,7 +56,18 @@
         self.on_unknown: Callable[[dict[str, Any]], None] = lambda message: (
             None
         )  # of the proxy's other callers
-        self._acts = (self._garbage, self._half_message, self._slow_writer, self._give_up, self._hang_up)
+        self._returning: set[str] = (
+            set()
+        )  # calls whose caller changes its connection once they are established
+        self._acts = (
+            self._garbage,
+            self._half_message,
+            self._slow_writer,
+            self._pipeline,
+            self._give_up,
+            self._hang_up,
+            self._come_again,
+        )
 
     @property
     def pending_count(self) -> int:
@@ -113,6 +126,28 @@
         if (stream := self._connect()) is not None:
             self._set_up(stream, self._rng.uniform(5.0, 200.0))
 
+    def _pipeline(self) -> None:
+        """Write several set-ups at once, in pieces that are not whole messages."""
+        if (stream := self._connect()) is None:
+            return
+        made = [self._new_set_up() for _ in range(PIPELINED)]
+        delay_ms = self._rng.uniform(1.0, 40.0)
+        for _, setup in made:
+            self._setups[setup.call], self._streams_of[setup.call] = setup, stream
+            setup.sent_ms = self.loop.now_ms + PIECES * delay_ms  # by then all are written
+            self.record.setups.append(setup)
+        stream.write_in_pieces(b"".join(data for data, _ in made), delay_ms)
+
+    def _come_again(self) -> None:
+        """Close the connection once the call is established, and open another one for its end."""
+        if (stream := self._connect()) is not None:
+            self._returning.add(self._set_up(stream).call)
+
+    def _return(self, stream: LineStream) -> None:
+        self._close_stream(stream)
+        if (other := self._connect()) is not None and self._rng.random() < 0.5:
+            other.write(encode_message("ping", "0" * 16, cause=0))
+
     def _give_up(self) -> None:
         """Release a set-up soon after sending it."""
         if (stream := self._connect()) is None:
@@ -171,9 +206,11 @@
         call = f"{self._rng.getrandbits(64):016x}"
         kind = self._rng.choice(KINDS)
         setup = CallerSetUp(call, self.proxy, run.number, kind, float("inf"), self._deadline_ms)
+        remaining_ms = self._rng.choice((self._deadline_ms, self._deadline_ms, *SHORT_REMAINING_MS))
+        setup.remaining_ms = remaining_ms
         fields = {
             "class": kind,
-            "left": f"{self._deadline_ms:.0f}",
+            "left": f"{remaining_ms:.0f}",
             "key": f"r{call[:6]}",
             "extras": f"dest:{self._rng.randrange(self._places)};width:1;via:-1",
         }
@@ -207,6 +244,8 @@
             setup.outcome_count += 1
             setup.outcome_ms = min(setup.outcome_ms, self.loop.now_ms)
             setup.outcome, setup.description = Outcome.ESTABLISHED, message.get("sdp", "")
+            if setup.call in self._returning and stream is not None:
+                self._return(stream)
         elif message["type"] == "release":
             if setup.outcome is Outcome.ESTABLISHED:
                 setup.end_notified_ms = min(setup.end_notified_ms, self.loop.now_ms)
@@ -216,9 +255,21 @@
                 setup.outcome_ms = min(setup.outcome_ms, self.loop.now_ms)
                 refused = message.get("cause") in REFUSALS
                 setup.outcome = Outcome.REFUSED if refused else Outcome.FAILED
-            if stream is not None:
+            if stream is not None and not self._has_calls(stream):
                 self._close_stream(stream)
 
+    def _has_calls(self, stream: LineStream) -> bool:
+        """Whether set-ups of this connection are unanswered or their calls have not ended."""
+        return any(
+            self._streams_of[setup.call] is stream
+            and (
+                setup.outcome is Outcome.NONE
+                or setup.outcome is Outcome.ESTABLISHED
+                and setup.end_notified_ms == float("inf")
+            )
+            for setup in self._setups.values()
+        )
+
     def _on_closed(self, stream: LineStream) -> None:
         """The proxy closed the connection: what is unanswered is lost, unless it crossed the close."""
         self._streams.remove(stream)
@@ -227,6 +278,8 @@
         for setup in self._setups.values():
             if self._streams_of.get(setup.call) is not stream or setup.outcome is not Outcome.NONE:
                 continue
-            if 0.0 <= self.loop.now_ms - setup.sent_ms <= CROSSED_CLOSE_MS and not was_killed:
+            if setup not in self.record.setups or setup.sent_ms > self.loop.now_ms:
+                setup.given_up_ms = self.loop.now_ms  # not all of it was written
+            elif self.loop.now_ms - setup.sent_ms <= CROSSED_CLOSE_MS and not was_killed:
                 self.record.setups.remove(setup)
             setup.outcome = Outcome.LOST
--- a/lab/fleet/script.py
+++ b/lab/fleet/script.py
@@ -220,6 +220,8 @@
     server_faults = (_silent_server, _silent_server, _replaced_server, _disturbed_server, _disturbed_links)
     for server in servers:
         steps += rng.choice(server_faults)(server, shape, rng, end_ms)
+        if rng.random() < 0.4:
+            steps += rng.choice((_disturbed_server, _disturbed_links))(server, shape, rng, end_ms)
     for _ in range(rng.randrange(2, 5)):
         steps += _reset_links(rng, shape, end_ms)
     for _ in range(rng.randrange(1, 3)):
