--- a/lab/fleet/day.py
+++ b/lab/fleet/day.py
@@ -23,7 +23,7 @@
 from lab.fleet.board import NoticeBoard
 from lab.fleet.callers import CLASSES, CallerGroup, schedule
 from lab.fleet.network import EventLoop
-from lab.fleet.processes import Process, free_port
+from lab.fleet.processes import AddressBlock, Process, free_port
 from lab.fleet.records import DayRecord, LinkFault, Outcome, ProxyRun
 from lab.fleet.rough_callers import RoughCallers
 from lab.fleet.script import HANGS_WITH_REPORTS, Shape, Step, extra_config, script, uid
@@ -150,13 +150,14 @@
             spare.state = "removed"
         self.runs: dict[int, ProxyRun] = {}
         self.processes: dict[int, Process] = {}
+        self.address_block = AddressBlock()
         self.boards: list[NoticeBoard] = []
         self.caller_groups: list[CallerGroup] = []
         self.rough_callers: list[RoughCallers] = []
         self.addresses: list[tuple[str, int]] = []
         for proxy in range(shape.proxies):
             high, low = divmod(proxy, 250)
-            host = f"127.1.{high}.{low + 1}"
+            host = self.address_block.host(proxy)
             self.addresses.append((host, free_port(host)))
             self.boards.append(NoticeBoard(self.loop, self.record, proxy, host))
             self.caller_groups.append(
@@ -460,6 +461,7 @@
             thread.join(10.0)
             for process in self.processes.values():
                 process.end()
+            self.address_block.release()
         self.record.cpu_share = (
             (_cpu_seconds() - cpu_before_s) / (time.monotonic() - began_s) / (os.cpu_count() or 1)
         )
--- a/lab/fleet/processes.py
+++ b/lab/fleet/processes.py
@@ -14,6 +14,9 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 PROGRAM = ("capershelf",)
+ADDRESS_BLOCKS = 32
+PROXIES_PER_BLOCK = 2000
+ADDRESS_LOCK_PORT = 45999
 
 
 def free_port(host: str) -> int:
@@ -23,6 +26,35 @@
         return int(sock.getsockname()[1])
 
 
+class AddressBlock:
+    """Loopback addresses for the proxies of one day, reserved against other days on this machine.
+
+    A port is free only until somebody else takes it: two days that used the same addresses could be given
+    the same ports.  The lock is a datagram socket, which ends with its process.
+    """
+
+    def __init__(self) -> None:
+        for number in range(ADDRESS_BLOCKS):
+            self._lock = socket.socket(type=socket.SOCK_DGRAM)
+            self._first_octet = PROXIES_PER_BLOCK // 250 * number
+            try:
+                self._lock.bind((f"127.1.{self._first_octet}.255", ADDRESS_LOCK_PORT))
+            except OSError:
+                self._lock.close()
+                continue
+            return
+        raise RuntimeError(f"{ADDRESS_BLOCKS} days run on this machine already: wait for one to end")
+
+    def host(self, proxy: int) -> str:
+        """Return the proxy's address."""
+        high, low = divmod(proxy, 250)
+        return f"127.1.{self._first_octet + high}.{low + 1}"
+
+    def release(self) -> None:
+        """Let another day use the addresses."""
+        self._lock.close()
+
+
 class Process:
     """A running `serve` process; `module` is the Python module to run and its first arguments."""
 
--- a/tests/test_silent_server.py
+++ b/tests/test_silent_server.py
@@ -18,7 +18,7 @@
 from capershelf.net.framing import Lines
 from lab.fleet.checker import TIMING_SLACK_MS, Contract
 from lab.fleet.network import EventLoop, Link, LinkConnection
-from lab.fleet.processes import free_port
+from lab.fleet.processes import AddressBlock, free_port
 from lab.fleet.servers import encode_message
 from tests.peers import PATIENCE_S, Peer, until
 from tests.test_reload import Program, table
@@ -77,7 +77,9 @@
         self.loop = EventLoop()
         self.servers = [SilentServer(self.loop, case) for case in CASES]
         threading.Thread(target=self.loop.poller.run, daemon=True).start()
-        listen = f"127.0.0.1:{free_port('127.0.0.1')}"
+        self.addresses = AddressBlock()
+        host = self.addresses.host(0)
+        listen = f"{host}:{free_port(host)}"
         path = folder / "config.json"
         path.write_text(json.dumps(self._config(listen, may_probe)))
         self.program = Program(path)
@@ -126,6 +128,7 @@
         self.program.process.kill()
         self.program.process.wait(PATIENCE_S)
         self.loop.poller.end()
+        self.addresses.release()
 
 
 @pytest.fixture(scope="module")
