End an inbox's wait at its deadline where a signal reaches its thread during a pause

Any thread that waits on an inbox can be hit: a planner's then gives no outcome and ends no call until something else comes in.

Evidence: in the stuck process the thread stood in Board.run's wait for its retry, in a futex call with no timeout. queue.SimpleQueue.get() goes on waiting after a signal with what is left of its timeout; once that is negative the wait is without end (the interpreter's fault). Signals for a stopped process go to whichever thread runs first.

Fix: the inbox is a deque and a lock; a lock's acquire() checks what is left of its timeout.

--- a/capershelf/core/clock.py
+++ b/capershelf/core/clock.py
@@ -6,9 +6,11 @@
 
 from __future__ import annotations
 
+import contextlib
 import math
-import queue
+import threading
 import time
+from collections import deque
 from dataclasses import dataclass
 from typing import Generic, Protocol, TypeVar
 
@@ -120,29 +122,42 @@
 
 
 class Inbox(Generic[T]):
-    """Event queue of a thread: any thread may put, only the owner takes."""
+    """Event queue of a thread: any thread may put, only the owner takes.
+
+    Not a queue.SimpleQueue: its get() waits for ever if a signal interrupts it and its timeout has passed
+    by then, as after a pause of the process.
+    """
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
-        self._queue: queue.SimpleQueue[T | None] = queue.SimpleQueue()
+        self._items: deque[T | None] = deque()
+        self._not_empty = threading.Lock()  # released by put(); may be free though all items are taken
+        self._not_empty.acquire()
         clock.add_waiter(self)
 
     def put(self, item: T) -> None:
         """Add an item.  Thread-safe."""
-        self._queue.put(item)
+        self._append(item)
 
     def empty(self) -> bool:
         """Whether no item is queued."""
-        return self._queue.empty()
+        return not self._items
 
     def wake(self) -> None:
         """Make take() return without an item.  Thread-safe."""
-        self._queue.put(None)
+        self._append(None)
+
+    def _append(self, item: T | None) -> None:
+        self._items.append(item)
+        if self._not_empty.locked():
+            with contextlib.suppress(RuntimeError):  # released by another thread in the meantime
+                self._not_empty.release()
 
     def take(self, deadline_ms: float) -> T | None:
         """Wait for the next item; None at the deadline, or when woken to read the clock again."""
-        seconds = self._clock.seconds_until(deadline_ms)
-        try:
-            return self._queue.get(timeout=seconds) if seconds != 0.0 else self._queue.get_nowait()
-        except queue.Empty:
-            return None
+        while not self._items:
+            seconds = self._clock.seconds_until(deadline_ms)
+            if seconds == 0.0:
+                return None
+            self._not_empty.acquire(timeout=-1.0 if seconds is None else seconds)
+        return self._items.popleft()
