Let the booking server of the restart test answer pings, as the protocol has it

test_serve_to_serve_under_load failed since the silence watch came in (found only now, the whole suite had not run): its stand-in ends no call, reports nothing and answered no ping, so its calls were ended after 6 s and their callers, still connected, were told. The protocol has every booking server answer a test. The stand-in does now; the test's assertions are untouched.

--- a/tests/test_memory_running.py
+++ b/tests/test_memory_running.py
@@ -258,6 +258,8 @@
                 peer.connection.send(
                     json.dumps({"type": "answer", "id": message["id"], "fields": {}, "sdp": "v=0"}).encode()
                 )
+            elif message["type"] == "ping":
+                peer.connection.send(json.dumps({"type": "pong", "id": message["id"], "cause": 1}).encode())
 
 
 class Load:
