--- a/lab/fleet/rough_callers.py
+++ b/lab/fleet/rough_callers.py
@@ -11,6 +11,7 @@
 from collections.abc import Callable
 from typing import Any
 
+from lab.fleet.callers import CLASSES, CROSSED_CLOSE_MS, NEW_CONNECTION_MS, REFUSALS
 from lab.fleet.network import PIECES, EventLoop, LineStream
 from lab.fleet.records import CallerSetUp, DayRecord, Outcome, ProxyRun
 from lab.fleet.servers import encode_message
@@ -24,13 +25,10 @@
     b"y" * 20_000 + b"\n",
     b'{"type":"set',
 )
-REFUSALS = (34, 42, 102)
-CROSSED_CLOSE_MS = 50.0
 CROWD_CONNECTIONS = 40  # at one proxy at a time
 PIPELINED = 5  # set-ups written at once
 SHORT_REMAINING_MS = (50.0, 300.0)  # of callers with little time left
 CROWD_PAUSE_MS = 5.0  # between two connections of a crowd
-KINDS = ("slot-lookup", "slot-confirm")
 
 
 class RoughCallers:
@@ -178,7 +176,7 @@
     # -- connections ----------------------------------------------------------------------------------
     def _connect(self) -> LineStream | None:
         run = self._current_run()
-        if run is None or not run.ready_ms <= self.loop.now_ms < run.term_ms + 300.0:
+        if run is None or not run.ready_ms <= self.loop.now_ms < run.term_ms + NEW_CONNECTION_MS:
             return None
         sock = socket.socket()
         try:
@@ -204,7 +202,7 @@
         run = self._current_run()
         assert run is not None
         call = f"{self._rng.getrandbits(64):016x}"
-        kind = self._rng.choice(KINDS)
+        kind = self._rng.choice(CLASSES)
         setup = CallerSetUp(call, self.proxy, run.number, kind, float("inf"), self._deadline_ms)
         remaining_ms = self._rng.choice((self._deadline_ms, self._deadline_ms, *SHORT_REMAINING_MS))
         setup.remaining_ms = remaining_ms
