End the proxies of the silent-server test also where its play fails

A trace of its connects shows port 33973, which the failed run had given to its server 309, one of those that drain and have to be left without connections; the run that passed shared no port with it.

Change: the fixture ends its proxies whatever happens.

--- a/tests/test_silent_server.py
+++ b/tests/test_silent_server.py
@@ -135,11 +135,13 @@
 def trials(tmp_path_factory: pytest.TempPathFactory) -> Iterator[dict[bool, Trial]]:
     """The same faults where booking servers may be probed and where they may not."""
     made = {may_probe: Trial(tmp_path_factory.mktemp("silent"), may_probe) for may_probe in (True, False)}
-    with ThreadPoolExecutor() as pool:
-        list(pool.map(Trial.play, made.values()))
-    yield made
-    for trial in made.values():
-        trial.end()
+    try:
+        with ThreadPoolExecutor() as pool:
+            list(pool.map(Trial.play, made.values()))
+        yield made
+    finally:
+        for trial in made.values():
+            trial.end()
 
 
 @pytest.mark.parametrize("may_probe", [True, False])
