--- a/review/standins.py
+++ b/review/standins.py
@@ -378,6 +378,7 @@
         self.answered_ms: dict[str, float] = {}
         self.over: dict[str, tuple[float, Any]] = {}  # when the client heard of the end, and the cause
         self.released: dict[str, float] = {}  # by the client itself
+        self.foreign: list[str] = []  # ids of answers and releases that are none of this client's
         self._reading: asyncio.Task[None] | None = None
 
     async def connect(self) -> None:
@@ -402,7 +403,10 @@
     def _on_message(self, message: dict[str, Any]) -> None:
         kind, call = message["type"], message["id"]
         self.record.note(self.name, f"{kind} heard", call=call, cause=message.get("cause"))
-        if kind not in ("answer", "release") or call not in self.sent:
+        if kind not in ("answer", "release"):
+            return
+        if call not in self.sent:
+            self.foreign.append(call)
             return
         if call in self.answered_ms and kind == "release":
             self.over.setdefault(call, (now_ms(), message.get("cause")))
