--- a/review/2/play.py
+++ b/review/2/play.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import copy
 import random
 import sys
 from pathlib import Path
@@ -20,15 +19,6 @@
 TOLD_MS = 7000.0  # PROTOCOL: "counts as told no later than 7 s afterwards, whether it arrived or not"
 CALL_GAP_S = 0.08  # 12 calls a second: one proxy of five
 
-VESTLAND = copy.deepcopy(s.SLOT_BOOKING_EU)
-VESTLAND["bounds"]["may-probe"] = False
-VESTLAND["contract"] |= {"drain-grace": GRACE_MS, "tip-multiple": 2.5, "fall": 1500.0, "cold-from": 0.29}
-VESTLAND["family-info"] |= {"release": 500.0, "t1": 800.0, "call-length": [8750.0, 7000.0]}
-VESTLAND["categories"] = [
-    {"name": "read-roster", "aim": 1500.0, "deadline": 9000.0, "credit": 1.0, "late-worth": 0.25},
-    {"name": "save-roster", "aim": 1500.0, "deadline": 9000.0, "credit": 3.0, "late-worth": 0.1},
-]
-
 
 def call_length_s() -> float:
     return random.expovariate(1.0 / 8.75)
@@ -41,7 +31,7 @@
     for server in servers:
         server.start()
     listen = s.free_address("127.0.11.1")
-    proxy = s.Proxy(record, folder, "n1", listen, s.config("n1", listen, board, VESTLAND))
+    proxy = s.Proxy(record, folder, "n1", listen, s.config("n1", listen, board, s.VESTLAND_ROSTER))
     leaving = servers[1]
     try:
         await proxy.ready()
--- a/review/standins.py
+++ b/review/standins.py
@@ -9,6 +9,7 @@
 import asyncio
 import base64
 import contextlib
+import copy
 import json
 import logging
 import os
@@ -26,7 +27,6 @@
 from typing import Any
 
 ROOT = Path(__file__).resolve().parent.parent
-FILLERS = 4  # fill the accept queue of a listener that shall take no connection
 READ_BYTES = 65536
 SLACK_MS = 50.0  # every time limit of the protocol is this much longer on sockets
 
@@ -76,21 +76,11 @@
     def __init__(self, server: BookingServer, reader: asyncio.StreamReader, writer: asyncio.StreamWriter):
         self.server, self.reader, self.writer = server, reader, writer
         self.open = True
-        self.outbox: list[bytes] = []  # while the path is dark
 
     def send(self, data: bytes) -> None:
-        if self.server.dark or self.outbox:
-            self.outbox.append(data)
-        elif self.open:
+        if self.open:
             self.writer.write(data)
 
-    def deliver(self) -> None:
-        if not self.server.dark:
-            for data in self.outbox:
-                if self.open:
-                    self.writer.write(data)
-            self.outbox.clear()
-
 
 class BookingServer:
     """A booking server that answers each set-up after a short time and ends calls by itself."""
@@ -112,9 +102,7 @@
         self.report_ms = report_ms
         self.state, self.boot_ms = "up", 0
         self.alive = True
-        self.dark = False
-        self._light = asyncio.Event()
-        self._light.set()
+        self.hung = False
         self.connections: list[ServerConnection] = []
         self.setting_up: dict[str, ServerConnection] = {}
         self.standing: dict[str, float] = {}  # since when, by call
@@ -122,18 +110,13 @@
         self.set_ups: list[tuple[float, str]] = []  # arrival, call
         self.owed: list[bytes] = []  # releases that are sent on the next connection as well
         self._timers: dict[str, asyncio.TimerHandle] = {}
-        self._fillers: list[socket.socket] = []
         self._accepting: asyncio.Task[None] | None = None
         self._tasks: set[asyncio.Task[None]] = set()
-        self._sock = self._listen(0)
+        self._sock = socket.create_server((host, 0), backlog=64)
+        self._sock.setblocking(False)
         self.endpoint = f"{host}:{self._sock.getsockname()[1]}"
 
     # -- listening ------------------------------------------------------------------------------------
-    def _listen(self, port: int) -> socket.socket:
-        sock = socket.create_server((self.host, port), backlog=64)
-        sock.setblocking(False)
-        return sock
-
     def start(self) -> None:
         loop = asyncio.get_running_loop()
         self._accepting = loop.create_task(self._accept())
@@ -148,10 +131,11 @@
             connection = ServerConnection(self, reader, writer)
             self.connections.append(connection)
             self.record.note(self.uid, "connection up")
-            connection.send(encode("state", "0" * 16, fields=self.load()))
-            for data in self.owed:
-                connection.send(data)
-            self.owed.clear()
+            connection.send(self.state_message())
+            if not self.hung:
+                for data in self.owed:
+                    connection.send(data)
+                self.owed.clear()
             task = loop.create_task(self._serve(connection))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
@@ -160,44 +144,26 @@
         taken = len(self.standing) + len(self.setting_up)
         return {"load": f"spare:{self.lines - taken};total:{self.lines};allowed:{self.per_s:.0f}"}
 
+    def state_message(self) -> bytes:
+        """The state of the group of lines, which comes unasked: the figures of the processor are -1."""
+        taken = len(self.standing) + len(self.setting_up)
+        load = f"spare:{self.lines - taken};total:{self.lines};allowed:-1"
+        return encode("state", "0" * 16, fields={"load": load})
+
     def _report_all(self) -> None:
         if self.alive:
             for connection in self.connections:
-                connection.send(encode("state", "0" * 16, fields=self.load()))
+                connection.send(self.state_message())
         asyncio.get_running_loop().call_later(self.report_ms / 1000.0, self._report_all)
 
     # -- disruptions ----------------------------------------------------------------------------------
-    def cut_off(self) -> None:
-        """Partition the path: open connections stay open and silent, new ones do not come up."""
-        self.dark = True
-        self._light.clear()
-        assert self._accepting is not None
-        self._accepting.cancel()
-        self._sock.listen(0)
-        for _ in range(FILLERS):
-            filler = socket.socket()
-            filler.setblocking(False)
-            filler.connect_ex(self._sock.getsockname())
-            self._fillers.append(filler)
-
-    def heal(self) -> None:
-        """End the partition; what was held is delivered."""
-        for filler in self._fillers:
-            filler.close()
-        self._fillers.clear()
-        with contextlib.suppress(OSError):
-            while True:
-                self._sock.accept()[0].close()
-        self._sock.listen(64)
-        self._accepting = asyncio.get_running_loop().create_task(self._accept())
-        self.dark = False
-        self._light.set()
-        # What came in is read first: writing to a connection that the proxy has closed would reset it.
-        asyncio.get_running_loop().call_later(0.02, self._deliver)
-
-    def _deliver(self) -> None:
-        for connection in self.connections:
-            connection.deliver()
+    def hang(self) -> None:
+        """Its processor hangs: it handles no message and sends no answer, release or pong any more.
+
+        The state of its group of lines, which is not the processor's, still comes.
+        """
+        self.hung = True
+        self.record.note(self.uid, "hangs")
 
     def die(self) -> None:
         """The process ends: connections are reset, calls are cut, nothing listens."""
@@ -216,27 +182,18 @@
         self._accepting.cancel()
         self._sock.close()
 
-    def come_back(self) -> None:
-        """A new process listens at the same address."""
-        self.alive = True
-        self.boot_ms = int(now_ms())
-        self._sock = self._listen(int(self.endpoint.rpartition(":")[2]))
-        self._accepting = asyncio.get_running_loop().create_task(self._accept())
-
     # -- messages -------------------------------------------------------------------------------------
     async def _serve(self, connection: ServerConnection) -> None:
         buffered = b""
         with contextlib.suppress(OSError):
             while True:
-                await self._light.wait()
                 data = await connection.reader.read(READ_BYTES)
-                if self.dark:
-                    await self._light.wait()
                 if not data:
                     break
                 *lines, buffered = (buffered + data).split(b"\n")
                 for line in lines:
-                    self.on_message(connection, json.loads(line))
+                    if not self.hung:
+                        self.on_message(connection, json.loads(line))
         connection.open = False
         if connection in self.connections:
             self.connections.remove(connection)
@@ -268,7 +225,7 @@
         asyncio.get_running_loop().call_later(self.answer_ms / 1000.0, self.answer, connection, call)
 
     def answer(self, connection: ServerConnection, call: str) -> None:
-        if self.setting_up.get(call) is not connection:
+        if self.setting_up.get(call) is not connection or self.hung:
             return
         del self.setting_up[call]
         self.standing[call] = now_ms()
@@ -289,6 +246,9 @@
         """The call has come to its end: release it on its connection, or any, and on the next one."""
         if call not in self.standing:
             return
+        if self.hung:
+            self._end(call, "came to its end, no release could be sent")
+            return
         data = encode("release", call, cause=16, fields=self.load())
         taken = connection if connection.open else next((c for c in self.connections if c.open), None)
         self._end(call, "came to its end, released" if taken is not None else "came to its end, not sent yet")
@@ -391,8 +351,6 @@
         self.outcome_ms: dict[str, float] = {}  # of the first outcome
         self.answered_ms: dict[str, float] = {}
         self.over: dict[str, tuple[float, Any]] = {}  # when the client heard of the end, and the cause
-        self.released: dict[str, float] = {}  # by the client itself
-        self.foreign: list[str] = []  # ids of answers and releases that are none of this client's
         self._reading: asyncio.Task[None] | None = None
 
     async def connect(self) -> None:
@@ -427,9 +385,6 @@
         self.record.note(self.name, f"{kind} heard", call=call, cause=message.get("cause"))
         if kind not in ("answer", "release"):
             return
-        if call not in self.sent:
-            self.foreign.append(call)
-            return
         if call in self.answered_ms and kind == "release":
             self.over.setdefault(call, (now_ms(), message.get("cause")))
             return
@@ -463,14 +418,9 @@
         self.send(self.set_up_line(call, call_class, left_ms, dest))
         self.record.note(self.name, "set-up repeated", call=call, dest=dest, left=left_ms)
 
-    def release(self, call: str) -> None:
-        self.send(encode("release", call, cause=16))
-        self.released[call] = now_ms()
-        self.record.note(self.name, "release sent", call=call)
-
     def stands(self) -> list[str]:
         """The calls that stand as far as the client knows."""
-        return [c for c in self.answered_ms if c not in self.over and c not in self.released]
+        return [call for call in self.answered_ms if call not in self.over]
 
 
 class WebSocketClient(Client):
@@ -538,14 +488,6 @@
             if writer not in self._quiet and writer.can_write_eof():
                 writer.write_eof()
 
-    def reset_all(self) -> None:
-        """Reset every connection, at both ends."""
-        self.record.note("path", "connections between client and proxy are reset")
-        for pair in self._connections:
-            for writer in pair:
-                reset(writer)
-        self._connections.clear()
-
     def forget(self, client: Client) -> None:
         """Lose the client's connection: it is reset towards the client, and quiet yet open at the proxy."""
         own = client.writer.get_extra_info("sockname")
@@ -696,3 +638,12 @@
     "zone": "ljubljana",
     "zones": ["ljubljana", "frankfurt", "amsterdam", "madrid"],
 }
+
+VESTLAND_ROSTER = copy.deepcopy(SLOT_BOOKING_EU)
+VESTLAND_ROSTER["bounds"]["may-probe"] = False
+VESTLAND_ROSTER["contract"] |= {"drain-grace": 1000.0, "tip-multiple": 2.5, "fall": 1500.0, "cold-from": 0.29}
+VESTLAND_ROSTER["family-info"] |= {"release": 500.0, "t1": 800.0, "call-length": [8750.0, 7000.0]}
+VESTLAND_ROSTER["categories"] = [
+    {"name": "read-roster", "aim": 1500.0, "deadline": 9000.0, "credit": 1.0, "late-worth": 0.25},
+    {"name": "save-roster", "aim": 1500.0, "deadline": 9000.0, "credit": 3.0, "late-worth": 0.1},
+]
