Review case 3: the connection is lost right behind the set-up

Cause: the case lost the connection 3 ms after the set-up by its own clock, so a busy machine could lose it late.

--- a/review/standins.py
+++ b/review/standins.py
@@ -460,8 +460,8 @@
     def __init__(self, record: Record, listen: str, host: str) -> None:
         self.record, self.listen, self.host = record, listen, host
         self.address = ""
-        self._connections: list[tuple[asyncio.StreamWriter, asyncio.StreamWriter]] = []  # client's, proxy's
         self._quiet: set[asyncio.StreamWriter] = set()  # nothing more is passed on to these
+        self._forget_next: set[tuple[str, int]] = set()  # addresses of clients
 
     async def start(self) -> None:
         server = await asyncio.start_server(self._serve, self.host, 0)
@@ -477,25 +477,34 @@
             return
         for one in (writer, far_writer):
             one.get_extra_info("socket").setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self._connections.append((writer, far_writer))
-        await asyncio.gather(self._pump(reader, far_writer), self._pump(far_reader, writer))
+        pair = (writer, far_writer)
+        await asyncio.gather(self._pump(reader, far_writer, pair), self._pump(far_reader, writer, pair))
 
-    async def _pump(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def _pump(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        pair: tuple[asyncio.StreamWriter, asyncio.StreamWriter],
+    ) -> None:
         with contextlib.suppress(OSError, asyncio.CancelledError):
             while data := await reader.read(READ_BYTES):
                 if writer not in self._quiet:
                     writer.write(data)
+                if writer is pair[1] and pair[0].get_extra_info("peername") in self._forget_next:
+                    self._forget(pair)
             if writer not in self._quiet and writer.can_write_eof():
                 writer.write_eof()
 
-    def forget(self, client: Client) -> None:
-        """Lose the client's connection: it is reset towards the client, and quiet yet open at the proxy."""
-        own = client.writer.get_extra_info("sockname")
-        for pair in self._connections:
-            if pair[0].get_extra_info("peername") == own:
-                self.record.note("path", "connection lost: reset at the client, quiet at the proxy")
-                self._quiet.update(pair)
-                reset(pair[0])
+    def forget_after_next(self, client: Client) -> None:
+        """Lose the client's connection behind the next data that it sends, which is still passed on."""
+        self._forget_next.add(client.writer.get_extra_info("sockname"))
+
+    def _forget(self, pair: tuple[asyncio.StreamWriter, asyncio.StreamWriter]) -> None:
+        """Lose a connection: it is reset towards the client, and quiet yet open at the proxy."""
+        self.record.note("path", "connection lost: reset at the client, quiet at the proxy")
+        self._forget_next.discard(pair[0].get_extra_info("peername"))
+        self._quiet.update(pair)
+        reset(pair[0])
 
 
 class Proxy:
