--- a/review/standins.py
+++ b/review/standins.py
@@ -503,8 +503,8 @@
         self, record: Record, folder: Path, name: str, listen: str, table: dict[str, Any], operator: str = ""
     ) -> None:
         self.record, self.name, self.listen = record, name, listen
-        config = folder / f"{name}.json"
-        config.write_text(json.dumps(table))
+        self.config = folder / f"{name}.json"
+        self.config.write_text(json.dumps(table))
         run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
         if operator:
             (folder / f"{name}.toml").write_text(operator)
@@ -513,7 +513,7 @@
         environ |= {
             "NODE_NAME": name,
             "NODE_LISTEN": listen,
-            "NODE_CONFIG": str(config),
+            "NODE_CONFIG": str(self.config),
             "TMPDIR": str(folder),
             "PYTHONDONTWRITEBYTECODE": "1",
         }
@@ -528,6 +528,12 @@
                 stdin=subprocess.DEVNULL,
             )
 
+    def replace_config(self, table: dict[str, Any]) -> None:
+        """Write another configuration beside the file and rename it, so that it is never half there."""
+        new = self.config.with_suffix(".new")
+        new.write_text(json.dumps(table))
+        new.rename(self.config)
+
     async def ready(self) -> None:
         """Wait until the proxy passes a test."""
         host, _, port = self.listen.rpartition(":")
