--- a/review/1/play.py
+++ b/review/1/play.py
@@ -88,10 +88,12 @@
         for client in clients:
             due, found = untold(client, stood[client.name])
             later_due, later = untold(client, set(client.answered_ms) - stood[client.name])
+            never = sum(call not in client.over for call in found)
             twice = sum(len(client.outcomes[call]) > 1 for call in stood[client.name])
             record.say(
                 f"{client.name}: {len(found)} of {due} ends not told within 8 s, of calls that stood when its"
-                f" connection was closed; {len(later)} of {later_due} of later calls; {twice} answered twice"
+                f" connection was closed, {never} of these never; {len(later)} of {later_due} of later calls;"
+                f" {twice} answered twice"
             )
         missed = [call for client in (lines, gate) for call in untold(client, stood[client.name])[1]]
         ended = {call: over_ms for server in servers for call, (over_ms, _) in server.ended.items()}
--- a/review/standins.py
+++ b/review/standins.py
@@ -252,6 +252,8 @@
         self.record, self.host = record, host
         self.events: list[dict[str, Any]] = []
         self.turn_s = 0.0
+        self.asked: list[float] = []  # when the proxy sent a poll
+        self.heard: list[float] = []  # the same, of those whose answer it still waited for
         self.address = ""
         self._changed = asyncio.Event()
 
@@ -291,12 +293,17 @@
                 head = (await reader.readuntil(b"\r\n\r\n")).decode()
                 query = dict(one.split("=") for one in head.split()[1].partition("?")[2].split("&"))
                 after, asked_ms = int(query["watch"]), now_ms()
+                by_proxy = f"Host: {self.address}" in head  # else the case's own poller
+                if by_proxy:
+                    self.asked.append(asked_ms)
                 if self.turn_s:
                     await asyncio.sleep(self.turn_s)
                 linger_s = float(query["linger"]) / 1000.0
                 if len(self.events) <= after and linger_s > 0.0:
                     with contextlib.suppress(TimeoutError):
                         await asyncio.wait_for(self._changed.wait(), linger_s)
+                if by_proxy and not reader.at_eof():
+                    self.heard.append(asked_ms)
                 body = json.dumps({"rev": len(self.events), "notices": self.events[after:]}).encode()
                 writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
                 await writer.drain()
@@ -307,7 +314,8 @@
                         watch=after,
                         rev=len(self.events),
                         after_ms=round(now_ms() - asked_ms),
-                        proxy_hung_up=reader.at_eof(),
+                        hung_up=reader.at_eof(),
+                        by="proxy" if by_proxy else "case",
                     )
         writer.close()
 
