Review: plays side by side don't share hosts, and a proxy that ended is no result

With one port forced on both the same is seen: the proxy of case 2 finds its address in use and ends, its client is served by the other clone's proxy and gets that one's ends, as both have the same host. Change: each play draws a network of its own in 127.0.0.0/8; a proxy is ready only if its own log says that it serves; a proxy that ended, or too few calls before the disruption, give exit 2.

--- a/review/1/play.py
+++ b/review/1/play.py
@@ -25,24 +25,27 @@
 
 
 async def scenario(record: s.Record, folder: Path) -> int:
-    servers = [s.BookingServer(record, f"s-{n}", n, f"127.0.12.{n + 1}", call_length_s) for n in range(2)]
-    board = s.NoticeBoard(record, "127.0.13.1")
+    servers = [s.BookingServer(record, f"s-{n}", n, s.host(s.SERVER, n), call_length_s) for n in range(2)]
+    board = s.NoticeBoard(record, s.host(s.BOARD))
     await board.start(servers)
     for server in servers:
         server.start()
-    listen, websocket = s.free_address("127.0.11.1"), s.free_address("127.0.11.2")
+    listen, websocket = s.free_address(s.host(s.PROXY)), s.free_address(s.host(s.PROXY, 1))
     table = s.config("n1", listen, board, s.SLOT_BOOKING_EU)
     operator = f'[websocket]\nlisten = "{websocket}"\n'  # as in deploy/operator.toml
     proxy = s.Proxy(record, folder, "n1", listen, table, operator)
     try:
         await proxy.ready()
-        paths = [s.ClientPath(record, listen, "127.0.15.1"), s.ClientPath(record, websocket, "127.0.15.2")]
+        paths = [
+            s.ClientPath(record, listen, s.host(s.PATH)),
+            s.ClientPath(record, websocket, s.host(s.PATH, 1)),
+        ]
         for path in paths:
             await path.start()
-        lines = s.Client(record, "lines", paths[0].address, "127.0.14.1")
-        gate = s.WebSocketClient(record, "websocket", paths[1].address, "127.0.14.2")
+        lines = s.Client(record, "lines", paths[0].address, s.host(s.CLIENT))
+        gate = s.WebSocketClient(record, "websocket", paths[1].address, s.host(s.CLIENT, 1))
         # Not judged: it also repeats the set-ups of its standing calls, a way that docs/websocket.md offers.
-        repeating = s.WebSocketClient(record, "repeating", paths[1].address, "127.0.14.3")
+        repeating = s.WebSocketClient(record, "repeating", paths[1].address, s.host(s.CLIENT, 2))
         clients = [lines, gate, repeating]
         for client in clients:
             await client.connect()
@@ -70,6 +73,10 @@
         await asyncio.sleep(WATCH_S)
         for task in calls:
             task.cancel()
+        proxy.check()
+        if min(map(len, stood.values())) < 10:
+            record.say("could not run: too few calls stood when the connections were closed")
+            return 2
         until_ms = s.now_ms()
 
         def untold(client: s.Client, among: set[str]) -> tuple[int, list[str]]:
--- a/review/2/play.py
+++ b/review/2/play.py
@@ -27,20 +27,20 @@
 
 async def scenario(record: s.Record, folder: Path) -> int:
     servers = [
-        s.BookingServer(record, f"s-{n}", n, f"127.0.12.{n + 1}", call_length_s, reports_wait=True)
+        s.BookingServer(record, f"s-{n}", n, s.host(s.SERVER, n), call_length_s, reports_wait=True)
         for n in range(2)
     ]
-    board = s.NoticeBoard(record, "127.0.13.1")
+    board = s.NoticeBoard(record, s.host(s.BOARD))
     await board.start(servers)
     for server in servers:
         server.start()
-    listen = s.free_address("127.0.11.1")
+    listen = s.free_address(s.host(s.PROXY))
     table = s.config("n1", listen, board, s.VESTLAND_ROSTER)
     proxy = s.Proxy(record, folder, "n1", listen, table)
     leaving = servers[1]
     try:
         await proxy.ready()
-        client = s.Client(record, "client", listen, "127.0.14.1")
+        client = s.Client(record, "client", listen, s.host(s.CLIENT))
         await client.connect()
 
         async def place_calls() -> None:
@@ -57,7 +57,7 @@
         changed = copy.deepcopy(table)
         if s.trouble():
             changed["settings"]["categories"][0]["deadline"] = 0.0
-            changed["board"] = s.free_address("127.0.13.2")  # where nothing listens
+            changed["board"] = s.free_address(s.host(s.BOARD, 1))  # where nothing listens
         proxy.replace_config(changed)
         record.note("platform", "the file is replaced, SIGHUP", broken=s.trouble(), board=changed["board"])
         proxy.process.send_signal(signal.SIGHUP)
@@ -66,6 +66,7 @@
         waiter = asyncio.create_task(s.told_by_waiting(board, len(board.events)))
         await asyncio.sleep(1.0)
         leaving.state = "draining"
+        before = len(leaving.set_ups)
         notice_ms = board.publish([leaving])
         await asyncio.sleep(DRAIN_S)
         leaving.die()
@@ -73,6 +74,10 @@
         board.publish([leaving])
         await asyncio.sleep(1.0)
         calls.cancel()
+        proxy.check()
+        if before < 10:
+            record.say("could not run: too few set-ups came to the booking server before its drain")
+            return 2
         waited_ms = waiter.result() - notice_ms if waiter.done() else float("inf")
         record.say(f"a poller of the board in force was told {waited_ms:.0f} ms after the notice")
         polls = sum(at_ms > hup_ms + 1000.0 for at_ms in board.asked)
--- a/review/standins.py
+++ b/review/standins.py
@@ -29,12 +29,20 @@
 ROOT = Path(__file__).resolve().parent.parent
 READ_BYTES = 65536
 SLACK_MS = 50.0  # every time limit of the protocol is this much longer on sockets
+# Hosts of this play alone, so that plays side by side can't take each other's ports for their own.
+NETWORK = f"127.{64 + secrets.randbelow(190)}.{1 + secrets.randbelow(254)}"
+PROXY, SERVER, BOARD, CLIENT, PATH = 10, 20, 50, 60, 90  # the first host of each kind
 
 
 def now_ms() -> float:
     return time.time() * 1000.0
 
 
+def host(kind: int, number: int = 0) -> str:
+    """The address of one of this play's hosts, on loopback."""
+    return f"{NETWORK}.{kind + number}"
+
+
 def trouble() -> bool:
     """Whether the disruption is played; TROUBLE=0 turns it off."""
     return os.environ.get("TROUBLE", "1") != "0"
@@ -534,18 +542,22 @@
         """Wait until the proxy passes a test."""
         host, _, port = self.listen.rpartition(":")
         for _ in range(600):
-            if self.process.poll() is not None:
-                raise RuntimeError(f"the proxy ended: {self.log.read_text()[-800:]}")
+            self.check()
             with contextlib.suppress(OSError):
                 reader, writer = await asyncio.open_connection(host, int(port))
                 writer.write(encode("ping", "0" * 16, cause=0))
                 passed = json.loads(await reader.readline() or b"{}").get("cause") == 1
                 writer.close()
-                if passed:
+                if passed and "serves on" in self.log.read_text():  # this process, not another one
                     return
             await asyncio.sleep(0.05)
         raise RuntimeError("the proxy did not pass a test within 30 s")
 
+    def check(self) -> None:
+        """Raise if the process has ended, so that its silence is not judged."""
+        if self.process.poll() is not None:
+            raise RuntimeError(f"the proxy ended: {self.log.read_text()[-800:]}")
+
     def end(self) -> None:
         if self.process.poll() is None:
             self.process.send_signal(signal.SIGKILL)
