Review case 7: ends at a booking server that hangs while reports go on

Cause: where proxies may not test booking servers, Planner.last_sign_of_life_ms takes every report as a sign that calls are handled, so nothing ends the calls at a server that hangs.

--- a/review/stand2/stand.py
+++ b/review/stand2/stand.py
@@ -191,6 +191,8 @@
         self._random = random.Random(uid)
         self.boot_ms = 0
         self.lost_ms: dict[str, float] = {}  # calls that stood when the machine vanished, and when
+        self.ended_ms: dict[str, float] = {}  # when each call came to its end here
+        self.hung = False  # the processor takes set-ups and answers nothing; reports go on
         self._dark = False
         self._fillers: list[socket.socket] = []
         self._listener = socket.socket()
@@ -313,13 +315,15 @@
                 self._open[writer].discard(call)
                 self._calls.pop(call, None)
                 writer.write(message("released", call))
-            elif kind == "ping":
+            elif kind == "ping" and not self.hung:
                 writer.write(message("pong", call, cause=1, fields=self._load()))
         self._open.pop(writer, None)  # what was open on it is given up
         writer.close()
 
     async def _answer(self, call: str, writer: asyncio.StreamWriter) -> None:
         await asyncio.sleep(self.answer_ms / 1000.0)
+        while self.hung:
+            await asyncio.sleep(0.02)
         if call not in self._open.get(writer, ()):
             return
         self._open[writer].discard(call)
@@ -332,6 +336,12 @@
         self.record.line(f"{self.uid} answers {call}")
         writer.write(message("answer", call, sdp=self.made[call], fields=self._load()))
         await asyncio.sleep(self.hold_s * self._random.uniform(0.7, 1.3))
+        if call not in self._calls:
+            return
+        self.ended_ms[call] = now_ms()
+        self.record.line(f"{self.uid}: {call} has come to its end")
+        while self.hung:
+            await asyncio.sleep(0.02)
         if self._calls.pop(call, None) is None:
             return
         self.record.line(f"{self.uid} ends {call}")
@@ -620,6 +630,14 @@
     with tempfile.TemporaryDirectory() as temporary:
         case = Case(record, Path(temporary))
 
+        def ended_from_outside(number: int, frame: object) -> None:
+            record.say(f"ended by signal {number}")
+            case.stop()
+            os._exit(NOT_RUN)
+
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+            signal.signal(number, ended_from_outside)
+
         async def limited() -> list[str]:
             return await asyncio.wait_for(play(case), 110.0)
 
