Review case 10: the list is 4.5 s late, as the deployment's file allows

Cause: 3.5 s came from the figures for additions to the list; the news of a restart is a change, up to 5 s late there.

Change: the lateness, and its source in the claim.

--- a/review/10/case.py
+++ b/review/10/case.py
@@ -17,7 +17,7 @@
 CALLS_PER_S = 40.0
 BEFORE_S = 14.0
 LOST_S = 5.0  # a zone is lost for 5 s and returns cold
-LISTED_S = 3.5  # the list tells of a start up to 1.8 + 1.4 + 0.39 s later (site file of vestland-roster)
+LISTED_S = 4.5  # until the list tells of the start; vestland-roster: notice_s up to 5, the page: up to 7
 LIMIT_MS = 8050.0  # within 8 s of its end; 50 ms of slack
 LEFT_MS = 3000.0
 
