Review: the description of a caller's set-up names a loopback address

It is text that no program connects to, but every address in a case has to be one.

Change: that address.

--- a/review/stand2/stand.py
+++ b/review/stand2/stand.py
@@ -477,7 +477,7 @@
             "key": os.urandom(8).hex(),
             "extras": f"dest:{dest};width:1;via:-1",
         },
-        "sdp": description or f"{call}\r\nc=IN IP4 10.4.7.9\r\nm=audio 31000 RTP/AVP 0 8 101\r\n",
+        "sdp": description or f"{call}\r\nc=IN IP4 127.0.0.1\r\nm=audio 31000 RTP/AVP 0 8 101\r\n",
     }
 
 
