An id belongs to its client: nobody else's set-up or release ends a call

Cause: Planner._caller_released found the call by its id alone, and FrontContext.waiting_session marked it as given up before the planner saw it. A trace shows the reuse rejected and the attempt cancelled by the release after it. The same cause: a rejected set-up's release cut an established call; a repeated set-up on WebSocket took the outcome from a live connection; a set-up of another class counted as a repetition.

Change: core/call_ownership.py decides by claims of connections. A session remembers its rejected ids.

--- /dev/null
+++ b/capershelf/core/call_ownership.py
@@ -0,0 +1,116 @@
+"""Decides what a connection may do to a call whose id it names: repeat its set-up, or release it.
+
+An id belongs to the client that set the call up.  That client may repeat the set-up, with the same class and
+description, on another connection, and may release an open call on any connection that it sent the set-up
+on.  Where two live connections sent it, each has a claim of its own: the call goes on while one of them
+waits.  A set-up of anybody else under the id is rejected, and a release from a connection that was rejected
+changes nothing.  An established call belongs to no connection: every other one may release it.
+"""
+
+from __future__ import annotations
+
+from loguru import logger
+
+from capershelf.core import model
+from capershelf.core.call_table import CallTable
+from capershelf.core.caller_connections import CallerConnections
+
+
+class CallOwnership:
+    """The claims of connections on a planner's calls.  Planner thread only."""
+
+    def __init__(self, calls: CallTable, callers: CallerConnections) -> None:
+        self._calls, self._callers = calls, callers
+
+    # -- repeated set-ups -----------------------------------------------------------------------------
+    def repeat(self, call: model.Call, request: model.SetUp, caller: model.Caller) -> None:
+        """Handle a set-up under the id of a known call; never starts an attempt.
+
+        A repetition gets the call's outcome on its own connection, without taking it from another one.
+        """
+        if not self._is_repetition(call, request, caller):
+            logger.warning(
+                "call {call}: id reused for a different call", event="call-id-reused", call=request.id
+            )
+            caller.notify(model.Failed(request.id, model.CAUSE_INVALID))
+            return
+        logger.info(
+            "call {call}: caller reconnected, call state {state}",
+            event="caller-back",
+            call=call.request.id,
+            state=call.state.value,
+        )
+        call.requested_on.append(caller)
+        if not self._is_claimed(call):
+            self._callers.take_over(call, caller)
+        elif call.state is model.CallState.ESTABLISHED and call.answer is not None:
+            self._callers.tell(call, caller, call.answer)
+
+    @staticmethod
+    def _is_repetition(call: model.Call, request: model.SetUp, caller: model.Caller) -> bool:
+        """Whether the set-up is the call's own, sent once more.
+
+        On a front where an open call ends with its connection there is nothing to repeat.
+        """
+        return (
+            caller.calls_outlive_connection
+            and caller not in call.requested_on
+            and call.client == model.Client.of(caller)
+            and call.request.call_class == request.call_class
+            and call.request.description == request.description
+        )
+
+    @staticmethod
+    def _is_claimed(call: model.Call) -> bool:
+        """Whether the call's messages go to a live connection that the set-up was sent on."""
+        caller = call.caller
+        return caller is not None and caller in call.requested_on and caller.is_reachable()
+
+    # -- releases -------------------------------------------------------------------------------------
+    def release(self, call: model.Call, caller: model.Caller, cause: int) -> bool:
+        """Whether a release from this connection ends the call.
+
+        Otherwise it ends this connection's claim, if there is one.
+        """
+        has_claim = caller in call.requested_on
+        if caller is call.caller and (has_claim or not caller.was_rejected(call.request.id)):
+            return not self.hand_over(call)
+        if not has_claim:
+            return self._may_release_unclaimed(call, caller)
+        call.requested_on.remove(caller)
+        caller.call_ended(call.request.id)
+        if not self._is_claimed(call):
+            return True
+        # The claim that remains may be that of a connection which the client has lost: find out.
+        call.release_cause = cause
+        self._callers.ping_earlier_connections(caller)
+        return False
+
+    @staticmethod
+    def _may_release_unclaimed(call: model.Call, caller: model.Caller) -> bool:
+        """Whether a connection that has not set up the call may release it."""
+        if call.state is model.CallState.ESTABLISHED and not caller.was_rejected(call.request.id):
+            return True
+        logger.info(
+            "call {call}: release by {peer} ignored, the call is another client's",
+            event="release-ignored",
+            call=call.request.id,
+            peer=caller.name,
+        )
+        return False
+
+    def hand_over(self, call: model.Call) -> bool:
+        """Give an open call that its caller does not wait for to another connection that waits for it.
+
+        Returns whether there is one.
+        """
+        caller = call.caller
+        if call.state is not model.CallState.OPEN or caller is None:
+            return False
+        others = [one for one in call.requested_on if one is not caller and one.is_reachable()]
+        if not others:
+            return False
+        caller.call_ended(call.request.id)
+        call.requested_on = others
+        call.caller = others[-1]
+        return True
--- a/capershelf/core/call_table.py
+++ b/capershelf/core/call_table.py
@@ -19,7 +19,7 @@
         # Ended established calls whose end is not yet delivered, or not yet confirmed.
         self.undelivered_ends: dict[int, model.Call] = {}
         # Calls that have lost the connection they were set up on, by front and host of their caller.
-        self._detached: dict[tuple[bool, str], dict[int, model.Call]] = {}
+        self._detached: dict[model.Client, dict[int, model.Call]] = {}
         self.open_count = 0
         # All outcomes; those that were Refused or Failed, without abandoned and expired calls.
         self.outcome_count, self.rejected_count = 0, 0
@@ -30,7 +30,8 @@
 
     def add(self, request: model.SetUp, caller: model.Caller) -> model.Call:
         """Add a new open call."""
-        call = self.by_key[request.key] = model.Call(request, caller)
+        call = model.Call(request, caller, model.Client.of(caller), [caller])
+        self.by_key[request.key] = call
         call.not_before_ms = self._release_gap_ends.get(request.key, -math.inf)
         self.open_count += 1
         return call
@@ -47,14 +48,18 @@
         """Calls whose messages go to this caller."""
         return [call for call in self.by_key.values() if call.caller is caller]
 
+    def requested_by(self, caller: model.Caller) -> list[model.Call]:
+        """Calls that were set up, or whose set-up was repeated, on this connection."""
+        return [call for call in self.by_key.values() if caller in call.requested_on]
+
     def detach(self, call: model.Call, caller: model.Caller) -> None:
-        """Let any connection from the host of this caller, on its front, take the call's messages."""
-        call.detached_from = caller.calls_outlive_connection, caller.host
+        """Let any connection of this caller's client take the call's messages."""
+        call.detached_from = model.Client.of(caller)
         self._detached.setdefault(call.detached_from, {})[call.request.key] = call
 
     def detached_from(self, caller: model.Caller) -> list[model.Call]:
         """Calls in the table that a connection of the same front and host has lost."""
-        found = self._detached.get((caller.calls_outlive_connection, caller.host), {})
+        found = self._detached.get(model.Client.of(caller), {})
         return [call for call in found.values() if self.by_key.get(call.request.key) is call]
 
     def all_ended(self) -> bool:
@@ -94,7 +99,7 @@
         if call.detached_from is not None:
             self._remove_detached(call, call.detached_from)
 
-    def _remove_detached(self, call: model.Call, origin: tuple[bool, str]) -> None:
+    def _remove_detached(self, call: model.Call, origin: model.Client) -> None:
         found = self._detached.get(origin, {})
         if found.get(call.request.key) is call:
             del found[call.request.key]
--- a/capershelf/core/caller_connections.py
+++ b/capershelf/core/caller_connections.py
@@ -38,10 +38,11 @@
         clock: Clock,
         schedule: Callable[[float, Callable[[], None]], Timer],
         abandon: Callable[[model.Call], None],
+        release: Callable[[model.Call, int], None],
         remove: Callable[[model.Call], None],
     ) -> None:
         self._calls, self._clock, self._schedule = calls, clock, schedule
-        self._abandon, self._remove = abandon, remove
+        self._abandon, self._release, self._remove = abandon, release, remove
         self._pinged: set[model.Caller] = set()  # to be closed unless they answer
 
     # -- connections that open and close --------------------------------------------------------------
@@ -56,13 +57,17 @@
             if call.caller is not caller and (speaks or not self._is_attached(call)):
                 self._attach(call, caller)
         if caller.calls_outlive_connection:
-            self._ping_earlier_connections(caller)
+            self.ping_earlier_connections(caller)
 
     def disconnected(self, caller: model.Caller) -> None:
         """A connection is lost: attach its calls to another one of its host, if there is one."""
+        for call in self._calls.requested_by(caller):
+            call.requested_on.remove(caller)
         for call in self._calls.for_caller(caller):
             if call.state is model.CallState.OPEN and not caller.calls_outlive_connection:
                 self._abandon(call)
+            elif call.release_cause is not None and not call.requested_on:
+                self._end_released(call, call.release_cause)
             elif call.ping is not None and caller.has_answered_ping(call.ping):
                 self._remove(call)  # what it was told last was received
             else:
@@ -71,7 +76,19 @@
         if other is not None:
             for call in self._calls.detached_from(caller):
                 if not self._is_attached(call):
-                    self._attach(call, other)
+                    self._attach(call, self._waiting_connection(call) or other)
+
+    def _end_released(self, call: model.Call, cause: int) -> None:
+        """End a call that was released on a connection other than the one lost now."""
+        if call.state is model.CallState.OPEN:
+            self._abandon(call)
+        elif call.state is model.CallState.ESTABLISHED:
+            self._release(call, cause)
+
+    @staticmethod
+    def _waiting_connection(call: model.Call) -> model.Caller | None:
+        """A connection on which the call's set-up was repeated."""
+        return next((one for one in reversed(call.requested_on) if one.is_reachable()), None)
 
     @staticmethod
     def _is_attached(call: model.Call) -> bool:
@@ -100,7 +117,16 @@
         caller.attach(call.request.id)
         self.deliver_missed(call)
 
-    def _ping_earlier_connections(self, caller: model.Caller) -> None:
+    def take_over(self, call: model.Call, caller: model.Caller) -> None:
+        """Send the call's messages to a connection on which its set-up was repeated, from the outcome on."""
+        if call.state is model.CallState.ESTABLISHED:
+            call.undelivered = call.answer  # the repeated set-up shows that it was not received
+        if call.caller is not None:
+            call.caller.detach(call.request.id)
+        call.caller = caller
+        self.deliver_missed(call)
+
+    def ping_earlier_connections(self, caller: model.Caller) -> None:
         """Find out whether the caller's earlier connections, if they have calls, are still alive."""
         earlier = {
             call.caller
@@ -150,7 +176,22 @@
         if receiver is None:
             self._calls.detach(call, caller)
         call.caller = receiver
-        return receiver is not None
+        if isinstance(message, model.Ended):
+            return receiver is not None
+        if receiver is not None:
+            call.told_on.append(receiver)
+        told = [self.tell(call, one, message) for one in call.requested_on if one not in (caller, receiver)]
+        return receiver is not None or any(told)
+
+    @staticmethod
+    def tell(call: model.Call, caller: model.Caller, outcome: model.CallerMessage) -> bool:
+        """Send the outcome on a connection on which the call's set-up was repeated, once."""
+        if caller in call.told_on or not caller.notify(outcome):
+            return False
+        call.told_on.append(caller)
+        if call.caller is None:
+            call.caller = caller
+        return True
 
     def notify_end(self, call: model.Call, message: model.Ended) -> None:
         """Deliver the end of a call that was removed from the table, and keep it until that is confirmed."""
--- a/capershelf/core/model.py
+++ b/capershelf/core/model.py
@@ -118,6 +118,9 @@
     def is_waiting(self, call_id: str) -> bool:
         """Whether the caller is still waiting for the call's outcome, as far as known.  Thread-safe."""
 
+    def was_rejected(self, call_id: str) -> bool:
+        """Whether a set-up with this id on this connection had a negative outcome.  Thread-safe."""
+
     def call_ended(self, call_id: str) -> None:
         """A call of this caller has ended here, whether or not the caller is notified."""
 
@@ -265,14 +268,33 @@
             timer.cancel()
 
 
+@dataclass(frozen=True, slots=True)
+class Client:
+    """A client as far as its connections tell: the front and the host that they come from."""
+
+    calls_outlive_connection: bool  # as in Caller; it differs between the fronts
+    host: str
+
+    @classmethod
+    def of(cls, caller: Caller) -> Client:
+        """The client of this connection."""
+        return cls(caller.calls_outlive_connection, caller.host)
+
+
 @dataclass(slots=True)
 class Call:
     """An entry of the call table; caller is None while its connection is lost."""
 
     request: SetUp
     caller: Caller | None
-    # Front and host of a disconnected caller: any connection from there may take the call's messages.
-    detached_from: tuple[bool, str] | None = None
+    client: Client  # that set it up
+    # Connections on which it was set up, or its set-up was repeated, and that have not closed since.
+    requested_on: list[Caller] = field(default_factory=list)
+    told_on: list[Caller] = field(default_factory=list)  # connections on which its outcome was sent
+    # Released on a connection that repeated its set-up: it ends if its caller's own connection is lost.
+    release_cause: int | None = None
+    # A disconnected client: any connection of it may take the call's messages.
+    detached_from: Client | None = None
     state: CallState = CallState.OPEN
     attempts: int = 0
     attempt: Attempt | None = None
--- a/capershelf/core/planner.py
+++ b/capershelf/core/planner.py
@@ -19,6 +19,7 @@
 from capershelf.control import Controller
 from capershelf.core import model
 from capershelf.core.attempt_gate import AttemptGate
+from capershelf.core.call_ownership import CallOwnership
 from capershelf.core.call_table import CallTable
 from capershelf.core.caller_connections import CallerConnections
 from capershelf.core.clock import Clock, Inbox
@@ -67,7 +68,10 @@
         self._stop: model.Stop | None = None
         self._pending_updates: deque[model.ServerListUpdate] = deque()  # handled before the inbox
         self.list_gate = ListGate(clock, self.schedule, self.has_pending_updates, self._resume_held_attempts)
-        self._callers = CallerConnections(self.calls, clock, self.schedule, self._abandon, self._remove_call)
+        self._callers = CallerConnections(
+            self.calls, clock, self.schedule, self._abandon, self._release_established, self._remove_call
+        )
+        self._ownership = CallOwnership(self.calls, self._callers)
         self._silence_watch = SilenceWatch(clock, self.schedule, self)
         self._list_version = 0
         # Number of set-ups that sessions have accepted and that have had no outcome yet.
@@ -175,7 +179,7 @@
     def _set_up(self, request: model.SetUp, caller: model.Caller) -> None:
         known = self.calls.by_key.get(request.key)
         if known is not None and not self._abandon_if_caller_left(known, caller):
-            self._reattach_caller(known, request, caller)
+            self._ownership.repeat(known, request, caller)
             return
         now_ms = self.clock.now_ms()
         if request.call_class not in self._classes:
@@ -221,48 +225,37 @@
         self._abandon(call)
         return True
 
-    def _reattach_caller(self, call: model.Call, request: model.SetUp, caller: model.Caller) -> None:
-        """Attach a reconnected caller to its existing call; never starts a new attempt.
-
-        A set-up that merely reuses the id is rejected: the description must be the same, and the front must
-        be one whose calls outlive their connection.
-        """
-        if call.caller is caller and call.state is model.CallState.OPEN:
-            return
-        if not caller.calls_outlive_connection or call.request.description != request.description:
-            logger.warning(
-                "call {call}: id reused for a different call", event="call-id-reused", call=request.id
-            )
-            caller.notify(model.Failed(request.id, model.CAUSE_INVALID))
-            return
-        logger.info(
-            "call {call}: caller reconnected, call state {state}",
-            event="caller-back",
-            call=call.request.id,
-            state=call.state.value,
-        )
-        if call.state is model.CallState.ESTABLISHED:
-            call.undelivered = call.answer  # the repeated set-up shows that it was not received
-        call.caller = caller
-        self._callers.deliver_missed(call)
-
     def _caller_released(self, event: model.CallerReleased) -> None:
         call = self.calls.find(event.id)
         if call is None or call.state is model.CallState.ENDED:
             return
+        if not self._ownership.release(call, event.caller, event.cause):
+            return
         if call.state is model.CallState.OPEN:
             self._abandon(call)
         else:
-            self._release(call.server, call.request.id, event.cause)
-            self._end_established(call, interface.Result.OK)
+            self._release_established(call, event.cause)
             if event.caller is not call.caller:
                 event.caller.call_ended(event.id)
 
+    def _release_established(self, call: model.Call, cause: int) -> None:
+        """End an established call that its client has released."""
+        self._release(call.server, call.request.id, cause)
+        self._end_established(call, interface.Result.OK)
+
     def _caller_rejected(self, caller: model.Caller) -> None:
-        for call in self.calls.for_caller(caller):
-            if call.state is model.CallState.OPEN:
+        """Give the open set-ups of a caller that will be disconnected their outcome."""
+        for call in self.calls.open_calls():
+            if call.caller is not caller and caller not in call.requested_on:
+                continue
+            failed = model.Failed(call.request.id, model.CAUSE_INVALID)
+            if call.caller is not caller or self._ownership.hand_over(call):
+                if caller in call.requested_on:
+                    call.requested_on.remove(caller)
+                caller.notify(failed)
+            else:
                 self._abandon(call)
-                self._callers.notify(call, model.Failed(call.request.id, model.CAUSE_INVALID))
+                self._callers.notify(call, failed)
 
     def _abandon(self, call: model.Call, result: interface.Result = interface.Result.CANCELLED) -> None:
         """End an open call that its caller gave up or whose deadline has passed, and cancel its attempt."""
@@ -931,7 +924,11 @@
     def _set_up_dropped(self, call: model.Call) -> None:
         """The gate rejected the set-up before its first byte was written."""
         caller = call.caller
-        if caller is not None and not caller.is_waiting(call.request.id):
+        if (
+            caller is not None
+            and not caller.is_waiting(call.request.id)
+            and not self._ownership.hand_over(call)
+        ):
             self._abandon(call)
         else:
             self._end_attempt(call, interface.Result.NOT_SENT)
--- a/capershelf/fronts/session.py
+++ b/capershelf/fronts/session.py
@@ -36,6 +36,7 @@
 TOKENS_PER_OUTCOME = 1.0  # for each outcome of a set-up and each end of a call
 TOKENS_PER_ANSWER = 4.0  # in addition, for each established call
 MAX_UNUSABLE_SET_UPS = 8  # each established call makes up for one
+MAX_REJECTED_IDS = 128  # kept for each connection; the oldest are dropped
 MAX_WARNINGS_PER_WINDOW = 20  # warnings about misbehaving callers; any more are only counted
 WARNING_WINDOW_MS = 1000.0
 
@@ -92,14 +93,13 @@
         self.max_description_bytes = max_description_bytes  # in the open set-ups of all callers together
         self._description_bytes = 0
         self.pending_set_ups = 0  # accepted from callers, still without an outcome
-        self._waiting_sessions: dict[str, Session] = {}  # by the id of the call whose outcome they wait for
         # Hosts that have lost a connection with calls, and have not connected since.
         self._absent_hosts: dict[str, None] = {}
         self._lock = threading.Lock()
         self.on_session_ended: Callable[[Session], None]
         self.other_session_of: Callable[[Session], Session | None]
 
-    def reserve(self, call_id: str, size: int, session: Session) -> bool:
+    def reserve(self, size: int) -> bool:
         """Reserve memory for a set-up; False if the front is closed or the limit is reached.
 
         The limit keeps hundreds of set-ups of the largest size from exhausting a small memory.
@@ -109,21 +109,13 @@
                 return False
             self._description_bytes += size
             self.pending_set_ups += 1
-            self._waiting_sessions[call_id] = session
             return True
 
-    def waiting_session(self, call_id: str) -> Session | None:
-        """The session that waits for this call's outcome; a caller may abandon it on any connection."""
-        with self._lock:
-            return self._waiting_sessions.get(call_id)
-
-    def free_reservation(self, call_id: str, size: int, session: Session) -> None:
+    def free_reservation(self, size: int) -> None:
         """Undo reserve() once the set-up has its outcome."""
         with self._lock:
             self._description_bytes -= size
             self.pending_set_ups -= 1
-            if self._waiting_sessions.get(call_id) is session:
-                del self._waiting_sessions[call_id]
             was_last = self.closed and not self.pending_set_ups
         if was_last:  # wakes a stopping planner that waits for it
             self.broadcast(model.InboxBarrier(lambda: None))
@@ -164,6 +156,8 @@
         self._abandoned: set[str] = set()  # open calls whose caller no longer waits
         self._attached: set[str] = set()  # calls that were set up on another connection
         self._told_after_attach: set[str] = set()  # those of them whose outcome or end was sent on this one
+        # Keys of set-ups on this connection with a negative outcome, the latest last.
+        self._rejected_ids: dict[str, None] = {}
         self._disconnected = False
         self.awaiting_first_message = True  # no complete message has been received
         self.messages_received = 0
@@ -242,7 +236,7 @@
     def mark_abandoned(self, call_id: str) -> None:
         """Note that the caller has abandoned the call; the planner receives its own event for that."""
         with self._lock:
-            if call_id in self._open:
+            if call_id in self._open or call_id in self._attached:
                 self._abandoned.add(call_id)
 
     def notify(self, message: model.CallerMessage) -> bool:
@@ -252,6 +246,8 @@
                 return False  # nobody would be left to end the established call
             was_attached = message.id in self._attached
             self._forget_call(message.id)
+            if isinstance(message, model.Refused | model.Failed):
+                self._note_rejected(message.id)
             if not self._may_reach_caller(message):
                 return False  # another connection of the caller may take it
             if was_attached:
@@ -265,6 +261,17 @@
                 self._message_tokens += TOKENS_PER_ANSWER
         return self.connection.send(vocabulary.encode_caller_message(message))
 
+    def _note_rejected(self, call_id: str) -> None:
+        """Remember that this connection has no call of this id.  The caller holds the lock."""
+        self._rejected_ids[call_id.lower()] = None
+        if len(self._rejected_ids) > MAX_REJECTED_IDS:
+            del self._rejected_ids[next(iter(self._rejected_ids))]
+
+    def was_rejected(self, call_id: str) -> bool:
+        """Whether a set-up with this id on this connection had a negative outcome."""
+        with self._lock:
+            return call_id.lower() in self._rejected_ids
+
     def _may_reach_caller(self, message: model.CallerMessage) -> bool:
         """Whether to send the message here, and not on another connection because this one is closed.
 
@@ -287,7 +294,7 @@
         self._abandoned.discard(call_id)
         self._attached.discard(call_id)
         if (size := self._open.pop(call_id, None)) is not None:
-            self._context.free_reservation(call_id, size, self)
+            self._context.free_reservation(size)
 
     # -- used by the listener -------------------------------------------------------------------------
     def is_idle(self) -> bool:
@@ -402,8 +409,7 @@
             self._handle_set_up(message, now_ms)
         elif kind == "release":
             message_id = vocabulary.parse_call_id(message)
-            if (waiting := self._context.waiting_session(message_id)) is not None:
-                waiting.mark_abandoned(message_id)
+            self.mark_abandoned(message_id)
             self._context.route(message_id)(
                 model.CallerReleased(message_id, vocabulary.parse_cause(message, message_id), self)
             )
@@ -438,7 +444,7 @@
         with self._lock:
             size = len(request.description)
             accepted = len(self._open) < min(MAX_OPEN_SET_UPS, BASE_OPEN_SET_UPS + self._answered_calls) and (
-                self._context.reserve(call, size, self)
+                self._context.reserve(size)
             )
             if accepted:
                 self._open[call] = size
--- a/tests/test_planner_parts.py
+++ b/tests/test_planner_parts.py
@@ -28,6 +28,9 @@
     def is_waiting(self, call_id: str) -> bool:
         return True
 
+    def was_rejected(self, call_id: str) -> bool:
+        return False
+
     def call_ended(self, call_id: str) -> None:
         """Not tracked."""
 
