Bound how long calls stay unconfirmed after their server's connection is lost

Cause: the grace of 4 s without a connection ended with the new process's connection, and its report counted as a sign of life of the calls. Ruled out: late delivery to callers.

Change: core/lost_connections.py. Calls are unconfirmed as of the last message on the lost connection, until the server sends something about one from before it; 6.5 s later they are ended and released. A silent draining server is connected to where it may not be pinged; a refusal is its sign of life.

--- a/capershelf/core/call_ownership.py
+++ b/capershelf/core/call_ownership.py
@@ -28,6 +28,8 @@
 
         A repetition gets the call's outcome on its own connection, without taking it from another one.
         """
+        if caller in (*call.requested_on, call.caller) and call.state is model.CallState.OPEN:
+            return  # its outcome is sent here anyway
         if not self._is_repetition(call, request, caller):
             logger.warning(
                 "call {call}: id reused for a different call", event="call-id-reused", call=request.id
@@ -89,7 +91,9 @@
     @staticmethod
     def _may_release_unclaimed(call: model.Call, caller: model.Caller) -> bool:
         """Whether a connection that has not set up the call may release it."""
-        if call.state is model.CallState.ESTABLISHED and not caller.was_rejected(call.request.id):
+        is_abandoned = call.caller is None and call.client == model.Client.of(caller)
+        is_releasable = call.state is model.CallState.ESTABLISHED or is_abandoned
+        if is_releasable and not caller.was_rejected(call.request.id):
             return True
         logger.info(
             "call {call}: release by {peer} ignored, the call is another client's",
--- a/capershelf/core/model.py
+++ b/capershelf/core/model.py
@@ -141,6 +141,7 @@
     message_ms: float  # any message
     after_first_report_ms: float  # without the load report that begins each connection
     response_ms: float  # without load reports sent unasked
+    refusal_ms: float = -math.inf  # when a second connection was last refused while the first one was open
 
 
 class ServerLinks(Protocol):
@@ -303,6 +304,8 @@
     last_ended_ms: float = -math.inf  # when it did
     server: str = ""  # the server where the call is established
     established_ms: float = math.inf
+    # The last message before the loss of its server's connection, unless the server has confirmed it since.
+    unconfirmed_since_ms: float = math.inf
     answer: CallerMessage | None = None  # kept while established, for a caller that lost its connection
     undelivered: CallerMessage | None = None  # not delivered to the caller, as far as known
     ping: int | None = None  # sent after its last message, which is kept until the ping is answered
@@ -430,6 +433,7 @@
     server: str
     epoch: int | None
     refused: bool = False
+    last_message_ms: float = math.inf  # of the connection that broke; inf: not known to be past
 
 
 @dataclass(frozen=True, slots=True)
--- a/capershelf/core/planner.py
+++ b/capershelf/core/planner.py
@@ -11,7 +11,7 @@
 import functools
 import math
 from collections import deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from loguru import logger
 
@@ -24,6 +24,7 @@
 from capershelf.core.caller_connections import CallerConnections
 from capershelf.core.clock import Clock, Inbox
 from capershelf.core.list_gate import ListGate
+from capershelf.core.lost_connections import LostConnections
 from capershelf.core.probes import Probes
 from capershelf.core.silence_watch import SilenceWatch
 from capershelf.core.timers import Timer, Timers
@@ -73,6 +74,7 @@
         )
         self._ownership = CallOwnership(self.calls, self._callers)
         self._silence_watch = SilenceWatch(clock, self.schedule, self)
+        self._lost_connections = LostConnections(clock, self.schedule, self)
         self._list_version = 0
         # Number of set-ups that sessions have accepted and that have had no outcome yet.
         self.pending_set_ups: Callable[[], int] = lambda: 0
@@ -368,6 +370,8 @@
         if call is None:
             return
         if call.state is model.CallState.ESTABLISHED and call.server == event.server:
+            if not event.on_replaced_connection:
+                self._lost_connections.confirm(event.server, call)
             result = interface.Result.RESET if event.cause == model.CAUSE_INTERRUPTED else interface.Result.OK
             self._end_established(call, result, event.cause, event.report)
         elif (
@@ -516,6 +520,7 @@
             server.epoch = None
             server.disconnected_ms = now_ms
             self.schedule(now_ms + DISCONNECT_GRACE_MS, lambda: self._interrupt_if_unreachable(server))
+            self._lost_connections.connection_lost(server.id, min(event.last_message_ms, now_ms))
             if server.calls:
                 # Reconnect at once: a refused connect proves that the process died, but only until another
                 # process listens at the address.
@@ -534,23 +539,30 @@
 
     def has_established(self, server_id: str) -> bool:
         """Whether calls are established at the server."""
+        return bool(self.established_at(server_id))
+
+    def established_at(self, server_id: str) -> list[model.Call]:
+        """The calls established at the server."""
         server = self._server_states.get(server_id)
-        return server is not None and bool(self._established_at(server))
+        return self._established_calls(server) if server is not None else []
 
     @staticmethod
-    def _established_at(server: model.ServerState) -> list[model.Call]:
+    def _established_calls(server: model.ServerState) -> list[model.Call]:
         return [call for call in server.calls.values() if call.state is model.CallState.ESTABLISHED]
 
     def last_sign_of_life_ms(self, server_id: str) -> float:
         """When the server last showed that it handles calls.
 
         Its load reports show that as long as no attempt there has remained unanswered, but the one that
-        begins each connection does not.  Where pings are not allowed, reports are all that can be asked for.
+        begins each connection does not.  Where pings are not allowed, reports are all that can be asked for,
+        and a draining server may send none: that it refuses a second connection shows that it has not ended,
+        as the first one would have been reset.
         """
         signs = self.servers.signs_of_life(server_id)
+        server = self._server_states[server_id]
         if not self._settings.may_probe:
-            return signs.message_ms
-        if self._server_states[server_id].unanswered_ms > signs.response_ms:
+            return max(signs.message_ms, signs.refusal_ms) if server.draining else signs.message_ms
+        if server.unanswered_ms > signs.response_ms:
             return signs.response_ms
         return signs.after_first_report_ms
 
@@ -574,19 +586,27 @@
     def interrupt_silent(self, server_id: str) -> None:
         """End the calls established at a server that gives no sign of life, and release them there."""
         server = self._server_states[server_id]
-        if server.draining and not self._settings.may_probe:
-            # It accepts no connection and may not be pinged; its removal from the list ends its calls.
-            self._silence_watch.watch(server_id)
-            return
-        calls = self._established_at(server)
-        self._interrupt_established(server, "no sign of life")
-        for call in calls:
-            self._release(server_id, call.request.id, model.CAUSE_INTERRUPTED)
+        self._interrupt_and_release(server, "no sign of life", self._established_calls(server))
+
+    def interrupt_unconfirmed(self, server_id: str, calls: Iterable[model.Call]) -> None:
+        """End calls at a server whose process may be another one since its connection was lost."""
+        self._interrupt_and_release(
+            self._server_states[server_id], "not confirmed after a lost connection", calls
+        )
+
+    def _interrupt_and_release(
+        self, server: model.ServerState, reason: str, calls: Iterable[model.Call]
+    ) -> None:
+        """End calls that the server may still have, and release them there."""
+        interrupted = list(calls)
+        self._interrupt(server, reason, interrupted)
+        for call in interrupted:
+            self._release(server.id, call.request.id, model.CAUSE_INTERRUPTED)
 
     def _interrupt_if_unreachable(self, server: model.ServerState) -> None:
         """End the calls at a server that has stayed disconnected too long, as it may have died silently."""
         if server.epoch is None and self.clock.now_ms() - server.disconnected_ms >= DISCONNECT_GRACE_MS - 1.0:
-            calls = self._established_at(server)
+            calls = self._established_calls(server)
             self._interrupt_established(server, "no connection")
             # If it was only cut off, it still has the calls when it is reached again.
             for call in calls:
@@ -597,8 +617,12 @@
     ) -> None:
         """End the calls established at the server before that time as interrupted, and log why."""
         interrupted = [
-            call for call in self._established_at(server) if call.established_ms < established_before_ms
+            call for call in self._established_calls(server) if call.established_ms < established_before_ms
         ]
+        self._interrupt(server, reason, interrupted)
+
+    def _interrupt(self, server: model.ServerState, reason: str, interrupted: list[model.Call]) -> None:
+        """End these calls as interrupted, and log why."""
         if not interrupted:
             return
         logger.warning(
@@ -674,9 +698,10 @@
                     )
                     server.draining = listed.status is not interface.ServerStatus.ACTIVE
                 server.endpoint, server.removed = located.endpoint, False
+                last_message_ms = self.servers.signs_of_life(server.id).message_ms
                 self.servers.open(listed.server, located.endpoint)
                 if server.epoch is not None:  # a replaced link does not report the end of its connection
-                    self._link_down(model.LinkDown(server.id, server.epoch))
+                    self._link_down(model.LinkDown(server.id, server.epoch, last_message_ms=last_message_ms))
             if server is not None and listed.started_ms is not None and listed.started_ms > server.started_ms:
                 self._server_restarted(server, listed.started_ms)
         if event.complete:
--- a/capershelf/net/links.py
+++ b/capershelf/net/links.py
@@ -209,6 +209,7 @@
         # On any connection.
         self._last_message_ms = self._last_response_ms = self._last_later_report_ms = clock.now_ms()
         self._last_received_ms = self._last_report_ms = self._last_message_ms
+        self._last_refusal_ms = -math.inf  # of an attempt to replace an open connection
         self._report_count = 0  # load reports received unasked on this connection
         self._heartbeat_timeouts = 0  # on consecutive connections
         self._heartbeat_gap_ms = math.inf
@@ -263,7 +264,12 @@
     def signs_of_life(self) -> SignsOfLife:
         """When messages were last received.  Thread-safe."""
         response_ms = self._last_response_ms
-        return SignsOfLife(self._last_message_ms, max(response_ms, self._last_later_report_ms), response_ms)
+        return SignsOfLife(
+            self._last_message_ms,
+            max(response_ms, self._last_later_report_ms),
+            response_ms,
+            self._last_refusal_ms,
+        )
 
     def replace_connection(self) -> None:
         """Replace the connection as after a missed heartbeat."""
@@ -450,7 +456,7 @@
                 server=self.server,
                 epoch=self._epoch,
             )
-        self._emit(LinkDown(self.server, self._epoch))
+        self._emit(LinkDown(self.server, self._epoch, last_message_ms=self._last_message_ms))
         if replacement is not None:
             self._start_connection(replacement)
         elif self._connect_attempt is None:
@@ -575,6 +581,7 @@
             self._arm_timer(connection)
             return
         if isinstance(problem, ConnectionRefusedError):
+            self._last_refusal_ms = self._clock.now_ms()
             self._forget_heartbeat("a new connection was refused")
             return
         self._heartbeat_timeouts += 1
