Answer a repeated set-up once on each connection, whenever it is handled

Cause: the session drops a repetition if the outcome was sent before it was read. Read before and handled after, the planner took it for a sign that the answer was not received.

Change: the planner notes where a call's outcome was sent and where its set-up was handled, and drops a repetition whose outcome came first. core/finished_calls.py keeps that, and what had stood, until the call's deadline: such an id does not run again. The end of a call goes to each connection that was told of its answer.

--- a/capershelf/core/call_ownership.py
+++ b/capershelf/core/call_ownership.py
@@ -14,6 +14,7 @@
 from capershelf.core import model
 from capershelf.core.call_table import CallTable
 from capershelf.core.caller_connections import CallerConnections
+from capershelf.core.finished_calls import FinishedCall
 
 
 class CallOwnership:
@@ -22,6 +23,30 @@
     def __init__(self, calls: CallTable, callers: CallerConnections) -> None:
         self._calls, self._callers = calls, callers
 
+    # -- set-ups of finished calls --------------------------------------------------------------------
+    def repeat_finished(self, call: FinishedCall, request: model.SetUp, caller: model.Caller) -> bool:
+        """Handle a set-up under the id of a call that has ended; False if it is a new call.
+
+        A call that was established is not run again; one that was not may be.
+        """
+        if call.was_told_unasked(caller):
+            caller.discard_set_up(request.id)
+            call.requested_on.append(caller)
+            return True
+        if not call.was_established:
+            return False
+        if caller not in call.requested_on and call.is_same_set_up(request, caller):
+            call.requested_on.append(caller)
+            caller.notify(model.Failed(request.id, model.CAUSE_NORMAL))
+        else:
+            self._reject(request, caller)
+        return True
+
+    @staticmethod
+    def _reject(request: model.SetUp, caller: model.Caller) -> None:
+        logger.warning("call {call}: id reused for a different call", event="call-id-reused", call=request.id)
+        caller.notify(model.Failed(request.id, model.CAUSE_INVALID))
+
     # -- repeated set-ups -----------------------------------------------------------------------------
     def repeat(self, call: model.Call, request: model.SetUp, caller: model.Caller) -> None:
         """Handle a set-up under the id of a known call; never starts an attempt.
@@ -30,11 +55,12 @@
         """
         if caller in (*call.requested_on, call.caller) and call.state is model.CallState.OPEN:
             return  # its outcome is sent here anyway
+        if call.was_told_unasked(caller):
+            caller.discard_set_up(request.id)
+            call.requested_on.append(caller)
+            return
         if not self._is_repetition(call, request, caller):
-            logger.warning(
-                "call {call}: id reused for a different call", event="call-id-reused", call=request.id
-            )
-            caller.notify(model.Failed(request.id, model.CAUSE_INVALID))
+            self._reject(request, caller)
             return
         logger.info(
             "call {call}: caller reconnected, call state {state}",
@@ -48,15 +74,14 @@
         elif call.state is model.CallState.ESTABLISHED and call.answer is not None:
             self._callers.tell(call, caller, call.answer)
 
-    @staticmethod
-    def _is_repetition(call: model.Call, request: model.SetUp, caller: model.Caller) -> bool:
+    def _is_repetition(self, call: model.Call, request: model.SetUp, caller: model.Caller) -> bool:
         """Whether the set-up is the call's own, sent once more.
 
-        On a front where an open call ends with its connection there is nothing to repeat.
+        On a front where an open call ends with its connection, only once that connection is lost.
         """
         return (
-            caller.calls_outlive_connection
-            and caller not in call.requested_on
+            caller not in call.requested_on
+            and (caller.calls_outlive_connection or not self._is_claimed(call))
             and call.client == model.Client.of(caller)
             and call.request.call_class == request.call_class
             and call.request.description == request.description
--- a/capershelf/core/call_table.py
+++ b/capershelf/core/call_table.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 
 from capershelf.core import model
+from capershelf.core.finished_calls import FinishedCalls
 
 
 class CallTable:
@@ -20,6 +21,7 @@
         self.undelivered_ends: dict[int, model.Call] = {}
         # Calls that have lost the connection they were set up on, by front and host of their caller.
         self._detached: dict[model.Client, dict[int, model.Call]] = {}
+        self.finished = FinishedCalls()
         self.open_count = 0
         # All outcomes; those that were Refused or Failed, without abandoned and expired calls.
         self.outcome_count, self.rejected_count = 0, 0
@@ -89,12 +91,14 @@
         self.retain_undelivered(call, message, timer)
         self.undelivered_ends[call.request.key] = call
 
-    def remove(self, call: model.Call) -> None:
+    def remove(self, call: model.Call, now_ms: float) -> None:
         """Remove the call and cancel its timer; a newer call of the same key stays."""
         if call.expiry_timer is not None:
             call.expiry_timer.cancel()
         if self.by_key.get(call.request.key) is call:
             del self.by_key[call.request.key]
+            if call.state is model.CallState.ENDED:
+                self.finished.add(call, now_ms)
         self.undelivered_ends.pop(call.request.key, None)
         if call.detached_from is not None:
             self._remove_detached(call, call.detached_from)
--- a/capershelf/core/caller_connections.py
+++ b/capershelf/core/caller_connections.py
@@ -176,11 +176,13 @@
         if receiver is None:
             self._calls.detach(call, caller)
         call.caller = receiver
-        if isinstance(message, model.Ended):
-            return receiver is not None
-        if receiver is not None:
+        if receiver is not None and receiver not in call.told_on:
             call.told_on.append(receiver)
-        told = [self.tell(call, one, message) for one in call.requested_on if one not in (caller, receiver)]
+        others = [one for one in call.requested_on if one not in (caller, receiver)]
+        if isinstance(message, model.Ended):
+            told = [one.notify(message) for one in others if one in call.told_on]
+        else:
+            told = [self.tell(call, one, message) for one in others]
         return receiver is not None or any(told)
 
     @staticmethod
--- a/capershelf/core/model.py
+++ b/capershelf/core/model.py
@@ -121,6 +121,9 @@
     def was_rejected(self, call_id: str) -> bool:
         """Whether a set-up with this id on this connection had a negative outcome.  Thread-safe."""
 
+    def discard_set_up(self, call_id: str) -> None:
+        """A set-up received here is a repetition whose outcome has been sent here: it gets no other one."""
+
     def call_ended(self, call_id: str) -> None:
         """A call of this caller has ended here, whether or not the caller is notified."""
 
@@ -304,6 +307,7 @@
     last_ended_ms: float = -math.inf  # when it did
     server: str = ""  # the server where the call is established
     established_ms: float = math.inf
+    was_established: bool = False
     # The last message before the loss of its server's connection, unless the server has confirmed it since.
     unconfirmed_since_ms: float = math.inf
     answer: CallerMessage | None = None  # kept while established, for a caller that lost its connection
@@ -311,6 +315,10 @@
     ping: int | None = None  # sent after its last message, which is kept until the ping is answered
     expiry_timer: Cancellable | None = None  # fires when the call leaves the table
 
+    def was_told_unasked(self, caller: Caller) -> bool:
+        """Whether its outcome was sent on this connection before a set-up of its own was handled."""
+        return caller in self.told_on and caller not in self.requested_on
+
 
 @dataclass(slots=True)
 class ServerState:
--- a/capershelf/core/planner.py
+++ b/capershelf/core/planner.py
@@ -184,6 +184,9 @@
             self._ownership.repeat(known, request, caller)
             return
         now_ms = self.clock.now_ms()
+        finished = self.calls.finished.find(request.key, now_ms)
+        if finished is not None and self._ownership.repeat_finished(finished, request, caller):
+            return
         if request.call_class not in self._classes:
             logger.warning(
                 "call {call}: unknown class {call_class!r}",
@@ -344,7 +347,7 @@
         if not self.calls.claim_outcome(call):
             return
         call.state = model.CallState.ESTABLISHED
-        call.server, call.established_ms = event.server, now_ms
+        call.server, call.established_ms, call.was_established = event.server, now_ms, True
         self._silence_watch.watch(event.server)
         logger.debug(
             "call {call}: established at {server}", event="call-stands", call=event.id, server=event.server
@@ -479,7 +482,7 @@
 
     def _remove_call(self, call: model.Call) -> None:
         """Remove the call from the call table and from its servers."""
-        self.calls.remove(call)
+        self.calls.remove(call, self.clock.now_ms())
         for server_id in {call.server, call.attempt.server if call.attempt else ""}:
             if (server := self._server_states.get(server_id)) is not None:
                 server.calls.pop(call.request.key, None)
--- a/capershelf/fronts/session.py
+++ b/capershelf/fronts/session.py
@@ -37,6 +37,7 @@
 TOKENS_PER_ANSWER = 4.0  # in addition, for each established call
 MAX_UNUSABLE_SET_UPS = 8  # each established call makes up for one
 MAX_REJECTED_IDS = 128  # kept for each connection; the oldest are dropped
+MAX_TOLD_IDS = 1024  # likewise
 MAX_WARNINGS_PER_WINDOW = 20  # warnings about misbehaving callers; any more are only counted
 WARNING_WINDOW_MS = 1000.0
 
@@ -155,7 +156,8 @@
         self._established: set[str] = set()
         self._abandoned: set[str] = set()  # open calls whose caller no longer waits
         self._attached: set[str] = set()  # calls that were set up on another connection
-        self._told_after_attach: set[str] = set()  # those of them whose outcome or end was sent on this one
+        # Calls whose outcome or end was sent here although no set-up of theirs had been read here.
+        self._told_unasked: dict[str, None] = {}
         # Keys of set-ups on this connection with a negative outcome, the latest last.
         self._rejected_ids: dict[str, None] = {}
         self._disconnected = False
@@ -244,14 +246,14 @@
         with self._lock:
             if isinstance(message, model.Answered) and self._closing:
                 return False  # nobody would be left to end the established call
-            was_attached = message.id in self._attached
+            was_requested = message.id in self._open or message.id in self._established
             self._forget_call(message.id)
             if isinstance(message, model.Refused | model.Failed):
                 self._note_rejected(message.id)
             if not self._may_reach_caller(message):
                 return False  # another connection of the caller may take it
-            if was_attached:
-                self._told_after_attach.add(message.id)
+            if not was_requested:
+                self._note_told_unasked(message.id)
             self.last_activity_ms = self._clock.now_ms()
             self._message_tokens += TOKENS_PER_OUTCOME
             if isinstance(message, model.Answered):
@@ -267,6 +269,23 @@
         if len(self._rejected_ids) > MAX_REJECTED_IDS:
             del self._rejected_ids[next(iter(self._rejected_ids))]
 
+    def _note_told_unasked(self, call_id: str) -> None:
+        """Remember that a repeated set-up of this call needs no other outcome.  The caller holds the lock."""
+        self._told_unasked[call_id] = None
+        if len(self._told_unasked) > MAX_TOLD_IDS:
+            del self._told_unasked[next(iter(self._told_unasked))]
+
+    def _take_told_unasked(self, call_id: str) -> bool:
+        """Whether this set-up's outcome has been sent here already.  The caller holds the lock."""
+        return self._told_unasked.pop(call_id, self) is None
+
+    def discard_set_up(self, call_id: str) -> None:
+        """Drop a repeated set-up whose outcome was sent here after it had been read."""
+        with self._lock:
+            self._told_unasked.pop(call_id, None)
+            if (size := self._open.pop(call_id, None)) is not None:
+                self._context.free_reservation(size)
+
     def was_rejected(self, call_id: str) -> bool:
         """Whether a set-up with this id on this connection had a negative outcome."""
         with self._lock:
@@ -431,8 +450,7 @@
     def _handle_set_up(self, message: dict[str, object], now_ms: float) -> None:
         call = vocabulary.parse_call_id(message)
         with self._lock:
-            if call in self._told_after_attach:
-                self._told_after_attach.discard(call)
+            if self._take_told_unasked(call):
                 return  # repeated by a caller that has reconnected, and has been sent its outcome meanwhile
             if call in self._open or call in self._established:
                 # An outcome could not be matched to one of the two.
@@ -442,6 +460,8 @@
             min_expires_ms = min(request.expires_ms, now_ms + MIN_REMAINING_MS)
             request = replace(request, expires_ms=max(min_expires_ms, request.expires_ms - unread_ms))
         with self._lock:
+            if self._take_told_unasked(call):
+                return
             size = len(request.description)
             accepted = len(self._open) < min(MAX_OPEN_SET_UPS, BASE_OPEN_SET_UPS + self._answered_calls) and (
                 self._context.reserve(size)
--- a/tests/test_planner_parts.py
+++ b/tests/test_planner_parts.py
@@ -28,6 +28,8 @@
     def is_waiting(self, call_id: str) -> bool:
         return True
 
+    def discard_set_up(self, call_id: str) -> None: ...
+
     def was_rejected(self, call_id: str) -> bool:
         return False
 
@@ -93,7 +95,7 @@
     table.undelivered_ends[call.request.key] = call
     assert table.detached_from(caller) == [call] and table.detached_from(elsewhere) == []
     newer = table.add(request(), FakeCaller())
-    table.remove(call)
+    table.remove(call, 0.0)
     assert table.find(CALL) is newer and not table.undelivered_ends
     assert table.detached_from(caller) == []
     for timer in timers.pop_due(10.0):
--- a/tests/test_planner_states.py
+++ b/tests/test_planner_states.py
@@ -37,6 +37,8 @@
     def is_waiting(self, call_id: str) -> bool:
         return self.calls_outlive_connection or self.open
 
+    def discard_set_up(self, call_id: str) -> None: ...
+
     def was_rejected(self, call_id: str) -> bool:
         return any(
             isinstance(one, model.Refused | model.Failed) and one.id == call_id for one in self.received
