--- a/capershelf/core/call_ownership.py
+++ b/capershelf/core/call_ownership.py
@@ -31,12 +31,12 @@
         """
         if call.was_told_unasked(caller):
             caller.discard_set_up(request.id)
-            call.requested_on.append(caller)
+            call.requested_on.add(caller)
             return True
         if not call.was_established:
             return False
         if caller not in call.requested_on and call.is_same_set_up(request, caller):
-            call.requested_on.append(caller)
+            call.requested_on.add(caller)
             caller.notify(model.Failed(request.id, model.CAUSE_NORMAL))
         else:
             self._reject(request, caller)
--- a/capershelf/core/caller_connections.py
+++ b/capershelf/core/caller_connections.py
@@ -177,7 +177,7 @@
             self._calls.detach(call, caller)
         call.caller = receiver
         if receiver is not None and receiver not in call.told_on:
-            call.told_on.append(receiver)
+            self._note_told(call, receiver)
         others = [one for one in call.requested_on if one not in (caller, receiver)]
         if isinstance(message, model.Ended):
             told = [one.notify(message) for one in others if one in call.told_on]
@@ -185,12 +185,16 @@
             told = [self.tell(call, one, message) for one in others]
         return receiver is not None or any(told)
 
-    @staticmethod
-    def tell(call: model.Call, caller: model.Caller, outcome: model.CallerMessage) -> bool:
+    def _note_told(self, call: model.Call, receiver: model.Caller) -> None:
+        call.told_on.append(receiver)
+        if call.state is model.CallState.ENDED:
+            self._calls.finished.add(call, self._clock.now_ms())
+
+    def tell(self, call: model.Call, caller: model.Caller, outcome: model.CallerMessage) -> bool:
         """Send the outcome on a connection on which the call's set-up was repeated, once."""
         if caller in call.told_on or not caller.notify(outcome):
             return False
-        call.told_on.append(caller)
+        self._note_told(call, caller)
         if call.caller is None:
             call.caller = caller
         return True
--- a/capershelf/core/finished_calls.py
+++ b/capershelf/core/finished_calls.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+import weakref
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 from capershelf.core import model
@@ -14,18 +16,47 @@
 MAX_FINISHED_CALLS = 8192  # the oldest are dropped
 
 
+class ConnectionRefs:
+    """Connections that are not kept in memory by being remembered here."""
+
+    __slots__ = ("_refs",)
+
+    def __init__(self, connections: Iterable[model.Caller] = ()) -> None:
+        self._refs = [weakref.ref(one) for one in connections]
+
+    def add(self, connection: model.Caller) -> None:
+        """Remember a connection."""
+        self._refs.append(weakref.ref(connection))
+
+    def __contains__(self, connection: model.Caller) -> bool:
+        return any(one() is connection for one in self._refs)
+
+
 @dataclass(frozen=True, slots=True)
 class FinishedCall:
-    """What is kept of a call that has left the call table.  The lists are those of the call."""
+    """What is kept of a call that has left the call table."""
 
     client: model.Client
     call_class: str
     description_hash: int
     was_established: bool
-    requested_on: list[model.Caller]
-    told_on: list[model.Caller]
+    requested_on: ConnectionRefs
+    told_on: ConnectionRefs
     expires_ms: float
 
+    @classmethod
+    def of(cls, call: model.Call) -> FinishedCall:
+        """What is kept of this call."""
+        return cls(
+            call.client,
+            call.request.call_class,
+            hash(call.request.description),
+            call.was_established,
+            ConnectionRefs(call.requested_on),
+            ConnectionRefs(call.told_on),
+            call.request.expires_ms,
+        )
+
     def was_told_unasked(self, caller: model.Caller) -> bool:
         """Whether its outcome was sent on this connection before a set-up of its own was handled."""
         return caller in self.told_on and caller not in self.requested_on
@@ -40,25 +71,18 @@
 
 
 class FinishedCalls:
-    """Finished calls by key, in the order of their ends."""
+    """Finished calls by key, in the order of their ends: those that stood, or whose outcome nobody asked for
+    where it was sent."""
 
     def __init__(self) -> None:
         self._by_key: dict[int, FinishedCall] = {}
 
     def add(self, call: model.Call, now_ms: float) -> None:
-        """Remember a call until its deadline."""
-        self._drop_expired(now_ms)
-        key = call.request.key
-        self._by_key.pop(key, None)
-        self._by_key[key] = FinishedCall(
-            call.client,
-            call.request.call_class,
-            hash(call.request.description),
-            call.was_established,
-            call.requested_on,
-            call.told_on,
-            call.request.expires_ms,
-        )
+        """Remember a call until its deadline, if a set-up under its id is not simply a new call."""
+        if call.was_established or any(call.was_told_unasked(one) for one in call.told_on):
+            self._drop_expired(now_ms)
+            self._by_key.pop(call.request.key, None)
+            self._by_key[call.request.key] = FinishedCall.of(call)
 
     def find(self, key: int, now_ms: float) -> FinishedCall | None:
         """The finished call of this key, if its deadline has not passed."""
--- a/tests/test_repeated_set_ups.py
+++ b/tests/test_repeated_set_ups.py
@@ -157,6 +157,9 @@
     finished, caller = FinishedCalls(), FakeCaller(False)
     calls = [model.Call(request(n), caller, model.Client.of(caller)) for n in range(1, 6)]
     for call in calls:
+        finished.add(call, 0.0)  # refused where it was set up: nothing to remember
+        assert finished.find(call.request.key, 0.0) is None
+        call.was_established = True
         finished.add(call, 0.0)
     expires_ms = calls[0].request.expires_ms
     assert [finished.find(call.request.key, 0.0) is not None for call in calls] == [False] * 2 + [True] * 3
