Bound the memory and the processor time that misbehaving clients take

Cause: callers reckoned at 0.08 MB on 22 MB, measured 0.088 on 29; heads parsed without a bound on fields; each byte read at once by a thread of its own; four evictions a newcomer; refused set-ups that cost a flood nothing.

Change: the memory at the start is measured, 0.1 MB a caller, one arena, 64 fields a head, paced reading (net/read_pacing.py), a pause after evictions, the oldest silent caller evicted first.

--- a/capershelf/cli.py
+++ b/capershelf/cli.py
@@ -14,6 +14,7 @@
 from capershelf import logs
 from capershelf.net.connection import start_thread
 from capershelf.node import Node
+from capershelf.process_memory import limit_arenas, resident_memory_mb
 from capershelf.release import VERSION
 from capershelf.reload import Reloader
 from capershelf.signals import STOPPED, Signals
@@ -75,10 +76,12 @@
     except ValueError as problem:
         raise click.UsageError(str(problem)) from problem
     signals = Signals((signal.SIGTERM, signal.SIGINT, signal.SIGHUP))
+    limit_arenas()
     try:
         config = configuration.load(os.environ, path)
         stream = open_stream(config)
-        node = Node(stream.config if stream is not None else config)
+        in_force = stream.config if stream is not None else config
+        node = Node(in_force, resident_mb=resident_memory_mb())
     except (ValueError, OSError) as problem:
         raise click.ClickException(str(problem)) from problem
     except ModuleNotFoundError as problem:
--- a/capershelf/fronts/listener.py
+++ b/capershelf/fronts/listener.py
@@ -17,6 +17,9 @@
 from capershelf.net.framing import Framing
 
 EVICTION_BATCH = 4  # idle sessions closed at a time to free descriptors
+# After an eviction, before the next newcomer is accepted: peers that connect again whenever they are evicted
+# would otherwise take the processor from the callers that are connected.
+EVICTION_PAUSE_S = 0.02
 # Token bucket for evicting sessions that have sent a message; rejecting a newcomer costs less than evicting.
 EVICTIONS_PER_MS = 0.1
 EVICTION_BURST = 100.0
@@ -81,9 +84,8 @@
     def _admit(self, sock: socket.socket, name: str) -> None:
         with self._lock:
             connected = len(self._sessions)
-        full = connected >= self._max_sessions and not (
-            self._evict_idle(EVICTION_BATCH) and self._wait_for_slot()
-        )
+        had_room = connected < self._max_sessions
+        full = not had_room and not (self._evict_idle(EVICTION_BATCH) and self._wait_for_slot())
         framing = (
             self._make_framing(full) if connected < self._max_sessions + MAX_PENDING_REJECTIONS else None
         )
@@ -98,6 +100,11 @@
         if framing is None:
             sock.close()
             return
+        self._add_session(sock, framing, name)
+        if not had_room:
+            self._pause.wait(EVICTION_PAUSE_S)
+
+    def _add_session(self, sock: socket.socket, framing: Framing, name: str) -> None:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         session = Session(sock, framing, name, self._context)
         with self._lock:
@@ -122,13 +129,8 @@
         now_ms = self._context.clock.now_ms()
         with self._lock:
             idle = [session for session in self._sessions if session.is_idle()]
-        idle.sort(
-            key=lambda session: (
-                not session.awaiting_first_message,
-                session.connection.has_partial_message(),
-                session.last_activity_ms,
-            )
-        )
+        # Slow writers of a first message must not outlast a newcomer, which is about to send one.
+        idle.sort(key=lambda session: (not session.awaiting_first_message, session.last_activity_ms))
         silent = [session for session in idle if session.awaiting_first_message]
         if self._evict(silent, count):
             return True
--- a/capershelf/net/connection.py
+++ b/capershelf/net/connection.py
@@ -13,6 +13,7 @@
 import select
 import socket
 import threading
+import time
 from collections import deque
 from collections.abc import Callable
 
@@ -23,6 +24,7 @@
 from capershelf.net.addresses import parse_endpoint, resolve
 from capershelf.net.buffers import MAX_MESSAGE_BYTES
 from capershelf.net.framing import CloseConnectionError, Framing, Reply
+from capershelf.net.read_pacing import ReadPacer
 
 MAX_WRITE_QUEUE_BYTES = 64 * 1024
 CLOSE_DRAIN_MS = 250.0  # how long a peer may take to close its end after the close frame
@@ -132,6 +134,8 @@
             on_invalid_message,
             on_timeout,
         )
+        self._pacer = ReadPacer()
+        self._pause_s = 0.0  # before the next read
         self._lock = threading.Condition()
         # The unwritten part of each message, its tag, and the gate to check before its first byte.
         self._write_queue: deque[tuple[bytes, str, WriteGate | None]] = deque()
@@ -378,6 +382,7 @@
     def receive(self) -> bool:
         """Read available data into the framing's buffer and process it; False at end of stream."""
         self._processing = True  # is_idle() must not be True while read data is unprocessed
+        units = self._framing.parsed_units
         try:
             count = self._sock.recv_into(self._framing.read_buffer(), 0, socket.MSG_DONTWAIT)
             if not count:
@@ -392,9 +397,14 @@
             self._partial_since_ms = math.inf
         elif messages or self._partial_since_ms == math.inf:
             self._partial_since_ms = self._clock.now_ms()
+        self._pause_s = self._pacer.pause_s(
+            self._framing.parsed_units - units, self._framing.has_partial_message
+        )
         return True
 
     def _wait(self) -> bool:
+        if self._pause_s > 0.0:
+            time.sleep(self._pause_s)
         while not wait_readable(self._sock, self._clock, self.deadline_ms()):
             self._check_deadline()
         return True
--- a/capershelf/net/http.py
+++ b/capershelf/net/http.py
@@ -11,6 +11,7 @@
 from capershelf.net.connection import connect, set_timeout_until
 
 MAX_HEAD_BYTES = 8 * 1024
+MAX_HEAD_FIELDS = 64
 CONNECT_TIMEOUT_MS = 1000.0
 MAX_BODY_BYTES = 4 * 1024 * 1024  # enough for a registry's complete list
 
@@ -23,6 +24,8 @@
     """Parse a head into its first line and its header fields, with names in lower case."""
     try:
         first, *rest = head.decode("latin-1").split("\r\n")
+        if len(rest) > MAX_HEAD_FIELDS:
+            raise HttpError(f"over {MAX_HEAD_FIELDS} fields")
         fields: dict[str, str] = {}
         for line in rest:
             name, colon, value = line.partition(":")
--- a/capershelf/net/tls.py
+++ b/capershelf/net/tls.py
@@ -66,6 +66,10 @@
     def has_partial_message(self) -> bool:
         return self._inner.has_partial_message
 
+    @property
+    def parsed_units(self) -> int:
+        return self._inner.parsed_units
+
     def handshake_data(self) -> bytes:
         with self._lock:
             self._do_handshake()
--- a/capershelf/net/websocket.py
+++ b/capershelf/net/websocket.py
@@ -15,7 +15,7 @@
 
 from capershelf.net.buffers import MAX_MESSAGE_BYTES, POOL
 from capershelf.net.framing import Buffered, CloseConnectionError, Reply
-from capershelf.net.http import HttpError, parse_head
+from capershelf.net.http import MAX_HEAD_FIELDS, HttpError, parse_head
 
 GUID = b"258EAFA5-E914-47DA-95CA-C5AB0DC85B11"
 CONTINUATION, TEXT, BINARY, CLOSE, PING, PONG = 0x0, 0x1, 0x2, 0x8, 0x9, 0xA  # opcodes
@@ -144,6 +144,9 @@
                 answer = self._http_response("431 Request Header Fields Too Large")
                 raise CloseConnectionError("a handshake without an end", answer)
             return
+        if self.buffer.count(b"\n", 0, end) > MAX_HEAD_FIELDS:
+            answer = self._http_response("431 Request Header Fields Too Large")
+            raise CloseConnectionError(f"a handshake of over {MAX_HEAD_FIELDS} fields", answer)
         try:
             first, fields = parse_head(bytes(self.buffer[:end]))
         except HttpError as error:
@@ -189,6 +192,7 @@
         try:
             while (found := self._parse_frame(offset)) is not None:
                 offset, fin, opcode, payload = found
+                self._parsed_units += 1
                 if opcode >= CLOSE:
                     yield from self._handle_control(opcode, payload)
                 elif (message := self._assemble(fin, opcode, payload)) is not None:
--- a/capershelf/node.py
+++ b/capershelf/node.py
@@ -41,8 +41,9 @@
     from capershelf.memory.memory import Memory
 
 ACCEPT_AFTER_STOP_MS = 900.0  # callers keep connecting for a while after SIGTERM
-BASE_MEMORY_MB = 22.0  # resident memory without callers
-CALLER_MEMORY_MB = 0.08  # of a caller's connection: thread, buffers and socket
+BASE_MEMORY_MB = 22.0  # resident memory without callers, at the least
+START_MEMORY_MB = 2.0  # what a start adds to the resident memory: threads, sockets, the first calls
+CALLER_MEMORY_MB = 0.1  # of a caller's connection: thread, session, two buffers and socket
 LINK_MEMORY_MB = 0.012  # of a link to a booking server
 # Descriptors for listening, the registry, signals, rejecting callers and links that reconnect.
 RESERVED_SOCKETS = 40
@@ -58,19 +59,20 @@
 FLUSH_POLL_S = 0.01
 
 
-def max_callers(config: Config) -> int:
+def max_callers(config: Config, base_memory_mb: float = BASE_MEMORY_MB) -> int:
     """The maximum number of connected callers: a third of the descriptors, as far as the memory allows.
 
     A low descriptor limit reduces it further, to leave enough for the registry and a minimum of links.
     """
     sockets = min(config.sockets // 3, config.sockets - RESERVED_SOCKETS - MIN_LINKS * config.planners)
-    return max(1, min(sockets, int(max(0.0, config.memory_mb - BASE_MEMORY_MB) / CALLER_MEMORY_MB)))
+    return max(1, min(sockets, int(max(0.0, config.memory_mb - base_memory_mb) / CALLER_MEMORY_MB)))
 
 
-def max_links_per_planner(config: Config) -> int:
+def max_links_per_planner(config: Config, base_memory_mb: float = BASE_MEMORY_MB) -> int:
     """The maximum number of links of one planner: what callers and the fixed costs leave over."""
-    sockets = config.sockets - min(config.sockets // 3, max_callers(config)) - RESERVED_SOCKETS
-    memory_mb = config.memory_mb - BASE_MEMORY_MB - CALLER_MEMORY_MB * max_callers(config)
+    callers = max_callers(config, base_memory_mb)
+    sockets = config.sockets - min(config.sockets // 3, callers) - RESERVED_SOCKETS
+    memory_mb = config.memory_mb - base_memory_mb - CALLER_MEMORY_MB * callers
     return max(MIN_LINKS, min(sockets, int(memory_mb / LINK_MEMORY_MB)) // config.planners)
 
 
@@ -125,8 +127,10 @@
 class Node:
     """The running components of one proxy."""
 
-    def __init__(self, config: Config, clock: Clock | None = None) -> None:
+    def __init__(self, config: Config, clock: Clock | None = None, resident_mb: float = 0.0) -> None:
+        """resident_mb: the resident memory of the process so far, on which the memory limit leaves room."""
         self.config = config
+        base_memory_mb = max(BASE_MEMORY_MB, resident_mb + START_MEMORY_MB)
         self.clock = clock or SystemClock()
         self._stopping = threading.Event()
         self._reloading = threading.Lock()  # SIGHUP and the configuration stream may reload concurrently
@@ -150,7 +154,7 @@
                 self._from_server(planner),
                 config.settings.gateway_count,
                 f"links of {planner.name}",
-                max_links_per_planner(config),
+                max_links_per_planner(config, base_memory_mb),
                 planner.is_idle,
             )
         self.memory = open_memory(config, self.clock)
@@ -164,7 +168,7 @@
         if config.websocket is not None:
             front_options.append((config.websocket.listen, websocket_framing, True))
         for listen, framing, calls_outlive_connection in front_options:
-            max_sessions = max(1, max_callers(config) // len(front_options))
+            max_sessions = max(1, max_callers(config, base_memory_mb) // len(front_options))
             context = FrontContext(
                 self.clock,
                 terms,
--- a/tests/bad_client_rig.py
+++ b/tests/bad_client_rig.py
@@ -35,6 +35,7 @@
     def __init__(self, loop: EventLoop) -> None:
         self.loop = loop
         self.set_ups: list[tuple[float, str]] = []  # arrival and call
+        self._unanswered: dict[str, LinkConnection] = {}
         self.released: list[str] = []
         self.answers = True
         self.link = Link(loop, "127.0.0.1", 0, lambda: 1.0, lambda: 1, self._on_connection)
@@ -53,14 +54,24 @@
         call = message["id"]
         if message["type"] == "setup":
             self.set_ups.append((self.loop.now_ms, call))
+            self._unanswered[call] = connection
             if self.answers:
-                connection.send(encode_message("answer", call, sdp=f"of {call}"))
-                self.loop.after(HOLD_MS, connection.send, encode_message("release", call, cause=16))
+                self._answer(call)
         elif message["type"] == "release":
             self.released.append(call)
+            self._unanswered.pop(call, None)
         elif message["type"] == "ping":
             connection.send(encode_message("pong", call, cause=1))
 
+    def answer(self, call: str) -> None:
+        """Answer a set-up that was left unanswered, unless it was given up.  For any thread."""
+        self.loop.poller.call_soon(lambda: self._answer(call))
+
+    def _answer(self, call: str) -> None:
+        if (connection := self._unanswered.pop(call, None)) is not None:
+            connection.send(encode_message("answer", call, sdp=f"of {call}"))
+            self.loop.after(HOLD_MS, connection.send, encode_message("release", call, cause=16))
+
 
 @dataclass(slots=True)
 class Waits:
--- /dev/null
+++ b/tests/test_bad_clients.py
@@ -0,0 +1,112 @@
+"""Misbehaving clients take neither memory nor processor time of a real proxy process from the usual ones."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+
+from capershelf.net import websocket as ws
+from capershelf.net.framing import CloseConnectionError
+from capershelf.net.http import MAX_HEAD_FIELDS, HttpError, parse_head
+from capershelf.net.read_pacing import (
+    BURST_UNITS,
+    MAX_PAUSE_S,
+    PARTIAL_READ_PAUSES_S,
+    UNITS_PER_S,
+    ReadPacer,
+)
+from tests.bad_client_rig import CALL_LEFT_MS, ProxyRig, Waits
+from tests.test_framing_states import feed
+
+SLACK_MS = 50.0  # the protocol's, on every time limit
+MEMORY_MB, SOCKETS = 48, 4096  # of the process
+CROWD = 150  # misbehaving connections at each front
+CROWD_S, FLOOD_S = 3.0, 2.5
+BEGINNING_S = 0.4  # until the misbehaving clients are at it
+FRONTS = pytest.mark.parametrize("websocket", [False, True], ids=["lines", "websocket"])
+
+
+@pytest.fixture
+def rig(tmp_path: Path) -> Iterator[ProxyRig]:
+    made = ProxyRig(tmp_path, MEMORY_MB, SOCKETS)
+    yield made
+    made.end()
+
+
+def assert_served(rig: ProxyRig, waits: Waits) -> None:
+    """Every call of the usual client was answered in time, and the process is within its memory limit."""
+    assert rig.program.process.poll() is None
+    assert waits.missing == 0 and waits.longest_ms <= CALL_LEFT_MS + SLACK_MS, waits.waits_ms
+    assert waits.answered == len(waits.waits_ms)
+    assert rig.status("VmHWM") <= rig.memory_mb
+
+
+@pytest.mark.parametrize("attack", ["slow", "half", "fragments", "short_fields", "same_fields"])
+@FRONTS
+def test_a_crowd_that_writes_slowly_or_heavily_keeps_within_the_memory_limit(
+    rig: ProxyRig, attack: str, websocket: bool
+) -> None:
+    """Guards against picture (a): 105 MB where 64 were allowed, and usual clients that waited for 2 s."""
+    crowds = [rig.attack(attack, front, CROWD, CROWD_S) for front in (False, True)]
+    time.sleep(BEGINNING_S)
+    waits = rig.usual_calls(websocket, CROWD_S - BEGINNING_S)
+    for crowd in crowds:
+        crowd.communicate()
+    assert_served(rig, waits)
+
+
+@pytest.mark.parametrize(
+    "attack",
+    [
+        "valid_set_ups",
+        "taken_back",
+        "unknown_releases",
+        "unusable",
+        "garbage",
+        "blank",
+        "pings",
+        "control_frames",
+    ],
+)
+@FRONTS
+def test_usual_clients_are_served_while_one_client_sends_at_full_speed(
+    rig: ProxyRig, attack: str, websocket: bool
+) -> None:
+    """Guards against picture (b): half of the usual calls were refused, and the others took up to 1.5 s."""
+    flood = rig.attack(attack, websocket, 1, FLOOD_S)
+    time.sleep(BEGINNING_S)
+    waits = rig.usual_calls(websocket, FLOOD_S - BEGINNING_S)
+    flood.communicate()
+    assert_served(rig, waits)
+
+
+# -- pacing and limits of what is read -----------------------------------------------------------------
+
+
+def test_a_connection_that_sends_without_end_is_read_at_a_bounded_rate() -> None:
+    pacer = ReadPacer()
+    assert pacer.pause_s(int(BURST_UNITS) - 10, False) == 0.0
+    assert pacer.pause_s(110, False) == pytest.approx(100 / UNITS_PER_S, rel=0.2)
+    assert pacer.pause_s(10_000, False) == MAX_PAUSE_S
+
+
+def test_a_message_in_many_pieces_is_read_in_few_reads() -> None:
+    pacer = ReadPacer()
+    pauses_s = [pacer.pause_s(0, True) for _ in range(8)]
+    assert pauses_s[0] < pauses_s[-1] == PARTIAL_READ_PAUSES_S[-1] and pauses_s == sorted(pauses_s)
+    assert pacer.pause_s(1, False) == 0.0, "its end does not slow the next message"
+    assert pacer.pause_s(0, True) < PARTIAL_READ_PAUSES_S[-1]
+
+
+def test_a_head_of_very_many_fields_is_not_parsed() -> None:
+    """Guards against picture (a): hundreds of such heads at once took 40 MB and seconds of the processor."""
+    fields = "".join(f"{n:x}:\r\n" for n in range(MAX_HEAD_FIELDS + 1))
+    with pytest.raises(HttpError):
+        parse_head(f"GET / HTTP/1.1\r\n{fields}".encode())
+    opening = ws.WebSocket("h").handshake_data().decode().replace("\r\n", f"\r\n{fields}", 1)
+    with pytest.raises(CloseConnectionError) as over:
+        feed(ws.WebSocket(), opening.encode())
+    assert over.value.final_data.split(b" ")[1] == b"431"
