Tell an end again that crossed the close of its client's connection

Cause: one test asked the planner too early. The other one found a race: the end is written after the client's close has arrived, or the connection ends before the end's ping. The session took the end for received in both.

Change: at its end a connection asks its socket for a pending error and unacknowledged data; a session whose end has no ping yet reports its end. The first test waits for the planner and asserts the same as before.

--- a/capershelf/fronts/session.py
+++ b/capershelf/fronts/session.py
@@ -164,6 +164,7 @@
         self.awaiting_first_message = True  # no complete message has been received
         self.messages_received = 0
         self._pings_sent = 0
+        self._end_awaits_ping = False  # an end was sent, and its ping has not been sent yet
         self.last_activity_ms = self._clock.now_ms()  # of the last message in either direction
         self._closing = False
         self._answered_calls, self._unusable_set_ups = 0, 0
@@ -203,6 +204,7 @@
 
     def ping(self) -> int:
         """Ping the caller, if the front has pings; returns the number for has_answered_ping()."""
+        self._end_awaits_ping = False
         self._pings_sent += 1
         self.connection.ping(str(self._pings_sent).encode())
         return self._pings_sent
@@ -256,6 +258,7 @@
                 self._note_told_unasked(message.id)
             self.last_activity_ms = self._clock.now_ms()
             self._message_tokens += TOKENS_PER_OUTCOME
+            self._end_awaits_ping |= isinstance(message, model.Ended)
             if isinstance(message, model.Answered):
                 self._established.add(message.id)
                 self._answered_calls += 1
@@ -348,7 +351,9 @@
         with self._lock:
             self._disconnected = self._closing = True
             had_calls = bool(self._open or self._established or self._attached)
-            is_unconfirmed = self._pings_sent > 0 and not self.has_answered_ping(self._pings_sent)
+            is_unconfirmed = self._end_awaits_ping or (
+                self._pings_sent > 0 and not self.has_answered_ping(self._pings_sent)
+            )
             for call_id in list(self._open):
                 self._forget_call(call_id)
         if had_calls or is_unconfirmed:
--- a/capershelf/net/connection.py
+++ b/capershelf/net/connection.py
@@ -9,9 +9,12 @@
 
 import _thread
 import contextlib
+import fcntl
 import math
 import select
 import socket
+import struct
+import termios
 import threading
 import time
 from collections import deque
@@ -343,12 +346,26 @@
             with contextlib.suppress(OSError):
                 self._drain()
         with self._lock:
+            self.was_reset = self.was_reset or self._has_undelivered_data()
             self._shut_down()
             self._write_queue.clear()
             self._sock.close()
         self._framing.release_buffers()
         self._on_closed()
 
+    def _has_undelivered_data(self) -> bool:
+        """Whether the peer has closed without receiving all that was sent.
+
+        Data that crosses the peer's close is answered with a reset.  The end of the stream is read before
+        that, so that the reset shows in the socket alone.
+        """
+        with contextlib.suppress(OSError):  # closed, or a socket without these queries
+            if self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+                return True
+            unacknowledged = fcntl.ioctl(self._sock, termios.TIOCOUTQ, struct.pack("i", 0))
+            return bool(struct.unpack("i", unacknowledged)[0])
+        return False
+
     def _step(self, action: Callable[[], bool]) -> bool:
         try:
             try:
--- a/tests/test_caller_returns.py
+++ b/tests/test_caller_returns.py
@@ -9,7 +9,7 @@
 import pytest
 
 from capershelf.core.caller_connections import PING_TIMEOUT_MS, UNDELIVERED_END_TTL_MS
-from capershelf.core.model import CallState
+from capershelf.core.model import CallState, WriteGate
 from capershelf.fronts.session import FIRST_MESSAGE_TIMEOUT_MS, IDLE_TIMEOUT_MS
 from tests.peers import NodeHarness, Peer, until
 from tests.test_call_ends import establish
@@ -220,12 +220,49 @@
     assert ends_told(back, 1) == {A}
 
 
+@pytest.mark.parametrize("closes", ["before the end is written", "before the end is kept"])
+def test_an_end_that_crosses_its_clients_close_is_told_again(harness: NodeHarness, closes: str) -> None:
+    """Guards against ends lost because the close came between the check for it and the write, or the ping."""
+    caller = harness.caller()
+    establish(harness, caller, A)
+    front = harness.node.fronts[int(harness.websocket)]
+    (session,) = front._sessions
+    send, ping = session.connection.send, session.ping
+
+    def close() -> None:
+        caller.sock.shutdown(socket.SHUT_RDWR)
+        caller.sock.close()
+        if closes == "before the end is kept":
+            until(lambda: not front._sessions)
+
+    def send_after_close(message: bytes, tag: str = "", gate: WriteGate | None = None) -> bool:
+        close()
+        return send(message, tag, gate)
+
+    def ping_after_close() -> int:
+        close()
+        return ping()
+
+    if closes == "before the end is written":
+        session.connection.send = send_after_close  # type: ignore[method-assign]
+    else:
+        caller.may_read.clear()
+        caller.send("ping", C, cause=0)  # its reading thread now stops at the pong, and the end stays unread
+        until(lambda: not caller.received.empty())
+        session.ping = ping_after_close  # type: ignore[method-assign]
+    end(harness, A)
+    until(lambda: not front._sessions)
+    caller.may_read.set()
+    assert ends_told(harness.caller(), 1) == {A}
+
+
 def test_an_end_is_kept_no_longer_than_its_caller_may_come_for_it(websocket: NodeHarness) -> None:
     """Guards against calls that stay in memory because no caller confirms their end."""
     caller = websocket.caller()
     establish(websocket, caller, A)
     end(websocket, A)
     assert ends_told(caller, 1) == {A}
+    websocket.settle()  # the planner keeps the end after it has sent it
     assert websocket.planner.calls.undelivered_ends
     websocket.advance(UNDELIVERED_END_TTL_MS + 10.0)
     assert not websocket.planner.calls.by_key and not websocket.planner.calls.undelivered_ends
