Let a set-up sent once more join its call, so that no id runs twice

Cause: the end of a JSON-lines connection gave its attempts up at once, and an answer that found no client was released.

Change: an attempt that is out goes on for 0.1 s after its client has left, and an answer is kept for as long; the same set-up from the same client is the same call until then. No new attempt begins for a client that has left, as before.

--- a/capershelf/core/call_ownership.py
+++ b/capershelf/core/call_ownership.py
@@ -59,7 +59,7 @@
             caller.discard_set_up(request.id)
             call.requested_on.append(caller)
             return
-        if not self._is_repetition(call, request, caller):
+        if not self.is_repetition(call, request, caller):
             self._reject(request, caller)
             return
         logger.info(
@@ -74,7 +74,7 @@
         elif call.state is model.CallState.ESTABLISHED and call.answer is not None:
             self._callers.tell(call, caller, call.answer)
 
-    def _is_repetition(self, call: model.Call, request: model.SetUp, caller: model.Caller) -> bool:
+    def is_repetition(self, call: model.Call, request: model.SetUp, caller: model.Caller) -> bool:
         """Whether the set-up is the call's own, sent once more.
 
         On a front where an open call ends with its connection, only once that connection is lost.
--- a/capershelf/core/caller_connections.py
+++ b/capershelf/core/caller_connections.py
@@ -25,6 +25,8 @@
 UNDELIVERED_END_TTL_MS = 8000.0
 # How long it is kept on a front without pings, for a connection that is reset.
 END_RESET_WINDOW_MS = 1000.0
+# How long a client that closed its connection has to send a set-up once more, before its attempt is given up.
+REPEAT_GRACE_MS = 100.0
 # How long a connection may stay silent after a ping, once its caller has connected again.
 PING_TIMEOUT_MS = 1500.0
 
@@ -65,7 +67,7 @@
             call.requested_on.remove(caller)
         for call in self._calls.for_caller(caller):
             if call.state is model.CallState.OPEN and not caller.calls_outlive_connection:
-                self._abandon(call)
+                self._abandon_unless_repeated(call, caller)
             elif call.release_cause is not None and not call.requested_on:
                 self._end_released(call, call.release_cause)
             elif call.ping is not None and caller.has_answered_ping(call.ping):
@@ -78,6 +80,21 @@
                 if not self._is_attached(call):
                     self._attach(call, self._waiting_connection(call) or other)
 
+    def _abandon_unless_repeated(self, call: model.Call, caller: model.Caller) -> None:
+        """Abandon a call whose caller has left; an attempt that is out goes on for a while.
+
+        Its client may send the set-up once more, which must not run twice.
+        """
+        if call.attempt is None or call.attempt.epoch is None:
+            self._abandon(call)
+            return
+
+        def abandon() -> None:
+            if call.state is model.CallState.OPEN and call.caller is caller:
+                self._abandon(call)
+
+        self._schedule(self._clock.now_ms() + REPEAT_GRACE_MS, abandon)
+
     def _end_released(self, call: model.Call, cause: int) -> None:
         """End a call that was released on a connection other than the one lost now."""
         if call.state is model.CallState.OPEN:
--- a/capershelf/core/planner.py
+++ b/capershelf/core/planner.py
@@ -21,7 +21,7 @@
 from capershelf.core.attempt_gate import AttemptGate
 from capershelf.core.call_ownership import CallOwnership
 from capershelf.core.call_table import CallTable
-from capershelf.core.caller_connections import CallerConnections
+from capershelf.core.caller_connections import REPEAT_GRACE_MS, CallerConnections
 from capershelf.core.clock import Clock, Inbox
 from capershelf.core.list_gate import ListGate
 from capershelf.core.lost_connections import LostConnections
@@ -180,7 +180,7 @@
     # -- callers --------------------------------------------------------------------------------------
     def _set_up(self, request: model.SetUp, caller: model.Caller) -> None:
         known = self.calls.by_key.get(request.key)
-        if known is not None and not self._abandon_if_caller_left(known, caller):
+        if known is not None and not self._abandon_if_caller_left(known, request, caller):
             self._ownership.repeat(known, request, caller)
             return
         now_ms = self.clock.now_ms()
@@ -212,11 +212,11 @@
             )
         )
 
-    def _abandon_if_caller_left(self, call: model.Call, caller: model.Caller) -> bool:
-        """Abandon an open call if its caller has disconnected and the event for that is still queued.
+    def _abandon_if_caller_left(self, call: model.Call, request: model.SetUp, caller: model.Caller) -> bool:
+        """Abandon an open call if its caller has disconnected and its set-up is not this one.
 
-        Returns whether it did.  This lets a caller whose connection broke send the same set-up again on a new
-        connection as a new call.
+        Returns whether it did.  The same set-up, sent again on a new connection, is the same call if an
+        attempt is out, which must not run twice, and a new one otherwise.
         """
         previous_caller = call.caller
         if (
@@ -227,6 +227,9 @@
             or (previous_caller.is_waiting(call.request.id))
         ):
             return False
+        is_out = call.attempt is not None and call.attempt.epoch is not None
+        if is_out and self._ownership.is_repetition(call, request, caller):
+            return False
         self._abandon(call)
         return True
 
@@ -285,10 +288,13 @@
                 self._note_unanswered(call.attempt)
             self._abandon(call, interface.Result.TIMEOUT)
             self._callers.notify(call, model.Refused(call.request.id))
-        elif call.state is model.CallState.ESTABLISHED and isinstance(call.undelivered, model.Answered):
-            # The caller never reconnected for the answer: release the established call.
-            self._release(call.server, call.request.id, model.CAUSE_NORMAL)
-            self._end_established(call, interface.Result.OK)
+        else:
+            self._release_undelivered(call)
+
+    def _release_undelivered(self, call: model.Call) -> None:
+        """Release an established call whose caller has not come for the answer."""
+        if call.state is model.CallState.ESTABLISHED and isinstance(call.undelivered, model.Answered):
+            self._release_established(call, model.CAUSE_NORMAL)
 
     def _answer_open_calls(self) -> None:
         """Give every open call an outcome: the process may be killed at any time from now on."""
@@ -366,7 +372,8 @@
                 interface.ServerReport(event.server, interface.Result.OK, event.report, False)
             )
         if call.undelivered is not None and caller is not None and not caller.calls_outlive_connection:
-            self._expire(call)  # the caller cannot reconnect for it
+            # Its caller can't reconnect for it, but may send the set-up once more.
+            self.schedule(now_ms + REPEAT_GRACE_MS, lambda: self._release_undelivered(call))
 
     def _server_released(self, event: model.ServerReleased) -> None:
         call = self.calls.find(event.id)
--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import signal
 import time
+from collections import Counter
 from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
 
+from capershelf.core.caller_connections import REPEAT_GRACE_MS
 from capershelf.net import websocket as ws
 from capershelf.net.framing import CloseConnectionError
 from capershelf.net.http import MAX_HEAD_FIELDS, HttpError, parse_head
@@ -19,6 +22,7 @@
     ReadPacer,
 )
 from tests.bad_client_rig import CALL_LEFT_MS, ProxyRig, Waits
+from tests.peers import Peer, until
 from tests.test_framing_states import feed
 
 SLACK_MS = 50.0  # the protocol's, on every time limit
@@ -27,6 +31,7 @@
 CROWD_S, FLOOD_S = 3.0, 2.5
 BEGINNING_S = 0.4  # until the misbehaving clients are at it
 FRONTS = pytest.mark.parametrize("websocket", [False, True], ids=["lines", "websocket"])
+A = f"{0xA0:016x}"
 
 
 @pytest.fixture
@@ -110,3 +115,63 @@
     with pytest.raises(CloseConnectionError) as over:
         feed(ws.WebSocket(), opening.encode())
     assert over.value.final_data.split(b" ")[1] == b"431"
+
+
+# -- clients that leave ----------------------------------------------------------------------------------
+
+
+def wait_for_set_ups(rig: ProxyRig, count: int) -> None:
+    until(lambda: len(rig.server.set_ups) >= count)
+
+
+def hang_up(caller: Peer) -> None:
+    caller.disconnect()
+    caller.sock.close()
+
+
+def test_set_ups_of_a_client_that_has_left_are_not_sent_on(rig: ProxyRig) -> None:
+    """Picture (c) doesn't show: no set-up that was unread when its client left reaches a booking server."""
+    caller = rig.caller(False)
+    rig.server.answers = False
+    caller.set_up(A)
+    wait_for_set_ups(rig, 1)
+    rig.program.process.send_signal(signal.SIGSTOP)  # what comes now is unread when the client leaves
+    for number in range(300):
+        caller.set_up(f"{number:016x}")
+    hang_up(caller)
+    rig.program.process.send_signal(signal.SIGCONT)
+    rig.server.answers = True
+    assert rig.usual_calls(False, 1.0).missing == 0
+    usual = sum(call.startswith("feed") for _, call in rig.server.set_ups)
+    assert len(rig.server.set_ups) == usual + 1
+
+
+@pytest.mark.parametrize("answered", [False, True], ids=["unanswered", "answered"])
+@FRONTS
+def test_an_id_that_comes_again_after_its_client_has_left_runs_once(
+    rig: ProxyRig, websocket: bool, answered: bool
+) -> None:
+    """Guards against picture (c): an id ran twice when it came again after its client had left."""
+    rig.server.answers = answered
+    caller = rig.caller(websocket)
+    caller.set_up(A)
+    wait_for_set_ups(rig, 1)
+    if answered:
+        assert caller.receive()["type"] == "answer"
+    hang_up(caller)
+    again = rig.caller(websocket)
+    again.set_up(A)
+    if not answered:
+        time.sleep(2.0 * REPEAT_GRACE_MS / 1000.0)  # by then the attempt would have been given up
+        rig.server.answer(A)
+    assert again.receive()["type"] == "answer"
+    assert Counter(call for _, call in rig.server.set_ups) == {A: 1} and A not in rig.server.released
+
+
+def test_the_attempt_of_a_client_that_does_not_come_again_is_given_up(rig: ProxyRig) -> None:
+    rig.server.answers = False
+    caller = rig.caller(False)
+    caller.set_up(A)
+    wait_for_set_ups(rig, 1)
+    hang_up(caller)
+    until(lambda: rig.server.released == [A])
