Print capacity figures to their error; count control frames as a quarter of a message

A coefficient or error below 1e-12 of the largest value is 0 now, an exact one is printed in full, any other one to the second digit of its error.

Reading was paced by lines and frames alike. A WebSocket with 434 calls a second, the larger reading of the planned size, has a pong for each end, and would have been slowed; lines and frames without a message count as a quarter.

Measured: tests/test_capacity_page.py and test_capacity_fit.py pass on arm64; x86-64 was not run.

--- a/capershelf/net/connection.py
+++ b/capershelf/net/connection.py
@@ -399,7 +399,7 @@
     def receive(self) -> bool:
         """Read available data into the framing's buffer and process it; False at end of stream."""
         self._processing = True  # is_idle() must not be True while read data is unprocessed
-        units = self._framing.parsed_units
+        lines_before = self._framing.parsed_lines
         try:
             count = self._sock.recv_into(self._framing.read_buffer(), 0, socket.MSG_DONTWAIT)
             if not count:
@@ -415,7 +415,7 @@
         elif messages or self._partial_since_ms == math.inf:
             self._partial_since_ms = self._clock.now_ms()
         self._pause_s = self._pacer.pause_s(
-            self._framing.parsed_units - units, self._framing.has_partial_message
+            messages, self._framing.parsed_lines - lines_before, self._framing.has_partial_message
         )
         return True
 
--- a/capershelf/net/framing.py
+++ b/capershelf/net/framing.py
@@ -36,8 +36,8 @@
         """Whether an incomplete message is buffered."""
 
     @property
-    def parsed_units(self) -> int:
-        """How many lines or frames have been parsed, those without a message included."""
+    def parsed_lines(self) -> int:
+        """How many lines, or frames, have been parsed, those without a message included."""
 
     def handshake_data(self) -> bytes:
         """What this side sends when the connection starts."""
@@ -84,15 +84,15 @@
     def __init__(self) -> None:
         self.buffer = NO_BUFFER
         self.filled_bytes = 0
-        self._parsed_units = 0
+        self._parsed_lines = 0
 
     @property
     def has_partial_message(self) -> bool:
         return self.filled_bytes > 0
 
     @property
-    def parsed_units(self) -> int:
-        return self._parsed_units
+    def parsed_lines(self) -> int:
+        return self._parsed_lines
 
     def read_buffer(self) -> memoryview:
         if self.buffer is NO_BUFFER:
@@ -134,7 +134,7 @@
         while (end := self.buffer.find(b"\n", max(start, self._scanned), self.filled_bytes)) >= 0:
             line = bytes(self.buffer[start:end])
             start = self._scanned = end + 1
-            self._parsed_units += 1
+            self._parsed_lines += 1
             if len(line) > MAX_MESSAGE_BYTES:
                 break
             if line.strip():
--- a/capershelf/net/tls.py
+++ b/capershelf/net/tls.py
@@ -67,8 +67,8 @@
         return self._inner.has_partial_message
 
     @property
-    def parsed_units(self) -> int:
-        return self._inner.parsed_units
+    def parsed_lines(self) -> int:
+        return self._inner.parsed_lines
 
     def handshake_data(self) -> bytes:
         with self._lock:
--- a/capershelf/net/websocket.py
+++ b/capershelf/net/websocket.py
@@ -192,7 +192,7 @@
         try:
             while (found := self._parse_frame(offset)) is not None:
                 offset, fin, opcode, payload = found
-                self._parsed_units += 1
+                self._parsed_lines += 1
                 if opcode >= CLOSE:
                     yield from self._handle_control(opcode, payload)
                 elif (message := self._assemble(fin, opcode, payload)) is not None:
--- a/tests/test_capacity_fit.py
+++ b/tests/test_capacity_fit.py
@@ -9,6 +9,7 @@
 
 from lab.capacity.fit import Fit, TooFewSizesError
 from lab.capacity.fit import fit as fit_points
+from lab.capacity.plan import formula_of, to_error
 
 SIZES = [10, 50, 100, 300, 600, 1100] * 2
 
@@ -45,3 +46,32 @@
     with pytest.raises(TooFewSizesError, match="4 sizes"):
         fit([1, 2, 3, 4, 4], [1, 2, 3, 4, 4])
     assert fit([1, 2, 3, 4, 5], [2, 2, 2, 2, 2]).at(100) == pytest.approx(2.0)
+
+
+def test_an_exact_line_has_neither_rounding_residue_nor_an_error() -> None:
+    """Guards against a capacity page that differs between kinds of machine in the last digits."""
+    for slope, intercept in ((1.0, 0.0), (1.0, 9.0), (17579.0, 0.0), (0.0, 5.0)):
+        found = fit(SIZES, intercept + slope * np.array(SIZES))
+        assert found.slope_error == 0.0 and found.errors == (0.0, 0.0, 0.0)
+        assert formula_of(found, "n") == f"{intercept:g} + {slope:g} n (exact)"
+
+
+def test_last_digits_of_the_points_do_not_change_what_is_printed() -> None:
+    values = 5.0 + 0.2 * np.array(SIZES) + noise(3, 2.0)
+    nudged = values * (1.0 + 1e-13 * noise(4, 1.0))
+    assert formula_of(fit(SIZES, values), "n") == formula_of(fit(SIZES, nudged), "n")
+
+
+@pytest.mark.parametrize(
+    ("value", "error", "text"),
+    [
+        (0.0124813, 0.00018, "0.01248"),
+        (76.6312, 0.012, "76.631"),
+        (-190.93, 48.0, "-191"),
+        (1773.4, 290.0, "1770"),
+        (-0.0000001, 0.01, "0.000"),
+        (17579.0, 0.0, "17579"),
+    ],
+)
+def test_a_figure_is_printed_to_its_error(value: float, error: float, text: str) -> None:
+    assert to_error(value, error) == text
