--- a/lab/fleet/callers.py
+++ b/lab/fleet/callers.py
@@ -100,6 +100,16 @@
             for one in connection.calls.values()
         )
 
+    def newest_open(self) -> CallerSetUp | None:
+        """The latest set-up without an outcome, if there is one."""
+        found = [
+            one
+            for connection in self._connections
+            for one in connection.calls.values()
+            if one.outcome is Outcome.NONE and one.given_up_ms == float("inf")
+        ]
+        return max(found, key=lambda one: one.sent_ms, default=None)
+
     def stop_calls(self) -> None:
         """Send no more set-ups and redials."""
         self._closed = True
--- a/lab/fleet/day.py
+++ b/lab/fleet/day.py
@@ -32,6 +32,7 @@
 READY_MS = 30_000.0  # the platform's limit on start-up; callers arrive once all proxies are ready
 PROCESS_POLL_INTERVAL_MS = 20.0  # between checks for exited processes
 MAX_CALL_END_WAIT_MS = checker.Contract().undelivered_end_ms  # until the last call end has been notified
+WEBSOCKET_DAYS = ("storm",)  # with the WebSocket front on
 MAX_VERDICT_LAG_MS = 400.0  # with more lag, a proxy's fault can't be told from the test rig's
 # Short deadlines keep the days short; the other values are the site's.
 CONTRACT = world.Contract(aim_ms=(500.0, 375.0), deadline_ms=2250.0, hold_ms=700.0, dear_share=0.22)
@@ -156,10 +157,13 @@
         self.caller_groups: list[CallerGroup] = []
         self.rough_callers: list[RoughCallers] = []
         self.addresses: list[tuple[str, int]] = []
+        self.websocket_addresses: dict[int, tuple[str, int]] = {}  # where the day has that front
         for proxy in range(shape.proxies):
             high, low = divmod(proxy, 250)
             host = self.address_block.host(proxy)
             self.addresses.append((host, free_port(host)))
+            if plan.name in WEBSOCKET_DAYS:
+                self.websocket_addresses[proxy] = (host, free_port(host))
             self.boards.append(NoticeBoard(self.loop, self.record, proxy, host))
             self.caller_groups.append(
                 CallerGroup(
@@ -192,6 +196,8 @@
             CONTRACT.deadline_ms,
             self.plan.shape.servers,
             random.Random(f"rough {self.plan.seed} {proxy}"),
+            self.websocket_addresses.get(proxy),
+            group.newest_open,
         )
         # Both come from one host, where the end of a call may be told on any connection.
         group.on_unknown, rough.on_unknown = rough.take, group.take
@@ -266,9 +272,18 @@
                 },
             }
             | extra_config(self.plan.name, shape)
+            | self._websocket_config(proxy)
             | self.plan.extra
         )
 
+    def _websocket_config(self, proxy: int) -> dict[str, Any]:
+        """The second front, with descriptors of its own, where the day has it."""
+        if proxy not in self.websocket_addresses:
+            return {}
+        host, port = self.websocket_addresses[proxy]
+        limits = {"cores": 1.0, "memory_mb": self.plan.memory_mb, "sockets": 2 * self.plan.sockets}
+        return {"websocket": {"listen": f"{host}:{port}"}, "limits": limits}
+
     def start(self, proxy: int) -> None:
         """Start a new run of a proxy."""
         before = self.runs.get(proxy)
@@ -380,6 +395,10 @@
                     server.die()
                     if server.state == "draining":
                         server.state = "removed"
+                case "vanish":
+                    server.die()
+                case "return":
+                    server.restart(cold=False)
                 case "back":
                     server.restart()
                 case "add":
--- a/lab/fleet/network.py
+++ b/lab/fleet/network.py
@@ -121,6 +121,9 @@
             self.close()
             self._on_closed()
             return
+        self._receive(data)
+
+    def _receive(self, data: bytes) -> None:
         now_ms = self.loop.now_ms
         if not self._inbound:
             self._first_byte_ms = now_ms
@@ -412,6 +415,8 @@
         self.deliver_due()
 
     def _fragments_written(self) -> None:
+        if not self._fragments_done:
+            return  # the booking server's end is gone, as it vanished during a partition
         done = self._fragments_done.popleft()
         if done is not None:
             done(True)
--- a/lab/fleet/rough_callers.py
+++ b/lab/fleet/rough_callers.py
@@ -15,6 +15,7 @@
 from lab.fleet.network import PIECES, EventLoop, LineStream
 from lab.fleet.records import CallerSetUp, DayRecord, Outcome, ProxyRun
 from lab.fleet.servers import encode_message
+from lab.fleet.websocket_stream import WebSocketStream
 
 GARBAGE = (
     b"\xfe\xff\n",
@@ -27,6 +28,10 @@
 )
 CROWD_CONNECTIONS = 40  # at one proxy at a time
 PIPELINED = 5  # set-ups written at once
+UNREAD = 40  # set-ups that a caller writes at once before it leaves
+FLOOD = 300  # small or unsound messages written at once
+SHORT_FIELDS = 1200  # in one message
+REPEAT_AFTER_MS = 30.0  # from a close until the set-up is sent once more
 SHORT_REMAINING_MS = (50.0, 300.0)  # of callers with little time left
 CROWD_PAUSE_MS = 5.0  # between two connections of a crowd
 
@@ -44,8 +49,11 @@
         deadline_ms: float,
         places: int,
         rng: random.Random,
+        websocket_address: tuple[str, int] | None = None,
+        newest_open: Callable[[], CallerSetUp | None] = lambda: None,
     ) -> None:
         self.loop, self.record, self.proxy, self.address = loop, record, proxy, address
+        self._websocket_address, self._newest_open = websocket_address, newest_open
         self._current_run, self._deadline_ms, self._places, self._rng = current_run, deadline_ms, places, rng
         self._streams: list[LineStream] = []
         self._setups: dict[str, CallerSetUp] = {}
@@ -65,6 +73,11 @@
             self._give_up,
             self._hang_up,
             self._come_again,
+            self._misuse_id,
+            self._cross_close,
+            self._leave_unread,
+            self._flood,
+            self._short_fields,
         )
 
     @property
@@ -173,21 +186,101 @@
 
         self.loop.after(self._rng.choice((0.0, 1.0, 30.0)), hang_up)
 
+    def _misuse_id(self) -> None:
+        """Use the id of another client's open set-up, with another description or class, and take it back."""
+        victim = self._newest_open()
+        if victim is None or (stream := self._connect(self._rng.random() < 0.5, hears=False)) is None:
+            return
+        kind = self._rng.choice((*CLASSES, "no class"))
+        fields = {"class": kind, "left": "900", "key": "x", "extras": "dest:0;width:1;via:-1"}
+        if self._rng.random() < 0.8:
+            stream.write(encode_message("setup", victim.call, fields=fields, sdp="another description"))
+        stream.write(encode_message("release", victim.call, cause=16))
+        self.loop.after(100.0, self._close_stream, stream)
+
+    def _cross_close(self) -> None:
+        """Send a set-up that crosses the close of its connection, and once more on a new one."""
+        websocket = self._websocket_address is not None and self._rng.random() < 0.7
+        host = self._own_host()
+        if (stream := self._connect(websocket, host)) is None:
+            return
+
+        def set_up() -> None:
+            if stream.open:
+                data, setup = self._new_set_up()
+                self._setups[setup.call], self._streams_of[setup.call] = setup, stream
+                stream.write(data)
+                setup.sent_ms = self.loop.now_ms
+                self.record.setups.append(setup)
+                self.loop.after(self._rng.uniform(0.0, 25.0), close, setup)
+
+        def close(setup: CallerSetUp) -> None:
+            if stream.open and setup.outcome is Outcome.NONE:
+                stream.close(reset=self._rng.random() < 0.3)
+                self._streams.remove(stream)
+                self.loop.after(REPEAT_AFTER_MS, self._repeat, setup, websocket, host)
+
+        self.loop.after(self._rng.uniform(20.0, 400.0), set_up)
+
+    def _repeat(self, setup: CallerSetUp, websocket: bool, host: str) -> None:
+        remaining_ms = setup.deadline_ms - self.loop.now_ms
+        stream = self._connect(websocket, host) if remaining_ms > 1.0 else None
+        if stream is None:  # it does not wait any longer
+            setup.given_up_ms = self.loop.now_ms
+            return
+        self._streams_of[setup.call] = stream
+        stream.write(self._encode_set_up(setup, remaining_ms))
+
+    def _leave_unread(self) -> None:
+        """Write many set-ups at once, and close before they can be read."""
+        if (stream := self._connect()) is None:
+            return
+        for _ in range(UNREAD):
+            setup = self._set_up(stream)
+            setup.given_up_ms = self.loop.now_ms
+        self._close_stream(stream)
+
+    def _flood(self) -> None:
+        """Write small or unsound messages as fast as they can be written."""
+        if (stream := self._connect(self._rng.random() < 0.5, hears=False)) is None:
+            return
+        kind, cause = self._rng.choice((("ping", 0), ("progress", 0), ("release", 16), ("none", 0)))
+        for _ in range(FLOOD):
+            stream.write(encode_message(kind, f"{self._rng.getrandbits(64):016x}", cause=cause))
+        self.loop.after(self._rng.uniform(0.0, 500.0), self._close_stream, stream)
+
+    def _short_fields(self) -> None:
+        """Write a message of very many short fields."""
+        if (stream := self._connect(self._rng.random() < 0.5, hears=False)) is None:
+            return
+        fields = {f"{n:x}": "" for n in range(SHORT_FIELDS)}
+        stream.write(encode_message("ping", "0" * 16, cause=0, fields=fields))
+        self.loop.after(self._rng.uniform(0.0, 500.0), self._close_stream, stream)
+
     # -- connections ----------------------------------------------------------------------------------
-    def _connect(self) -> LineStream | None:
+    def _own_host(self) -> str:
+        """An address for one client, which no other one has."""
+        return f"127.250.{self._rng.randrange(1, 255)}.{self._rng.randrange(1, 255)}"
+
+    def _connect(self, websocket: bool = False, own_host: str = "", hears: bool = True) -> LineStream | None:
+        """Connect to a front of the proxy; hears: messages on the connection are for these callers."""
         run = self._current_run()
         if run is None or not run.ready_ms <= self.loop.now_ms < run.term_ms + NEW_CONNECTION_MS:
             return None
+        websocket = websocket and self._websocket_address is not None
+        address = self._websocket_address if websocket and self._websocket_address else self.address
         sock = socket.socket()
         try:
-            sock.connect(self.address)
+            if own_host:
+                sock.bind((own_host, 0))
+            sock.connect(address)
         except OSError:
             sock.close()
             return None
-        stream = LineStream(
+        stream = (WebSocketStream if websocket else LineStream)(
             self.loop,
             sock,
-            lambda data, first_byte_ms: self._on_message(stream, data),
+            lambda data, first_byte_ms: self._on_message(stream, data) if hears else None,
             lambda: self._on_closed(stream),
         )
         self._streams.append(stream)
@@ -206,13 +299,17 @@
         setup = CallerSetUp(call, self.proxy, run.number, kind, float("inf"), self._deadline_ms)
         remaining_ms = self._rng.choice((self._deadline_ms, self._deadline_ms, *SHORT_REMAINING_MS))
         setup.remaining_ms = remaining_ms
+        return self._encode_set_up(setup, remaining_ms), setup
+
+    def _encode_set_up(self, setup: CallerSetUp, remaining_ms: float) -> bytes:
+        call = setup.call
         fields = {
-            "class": kind,
+            "class": setup.kind,
             "left": f"{remaining_ms:.0f}",
             "key": f"r{call[:6]}",
             "extras": f"dest:{self._rng.randrange(self._places)};width:1;via:-1",
         }
-        return encode_message("setup", call, fields=fields, sdp=f"asked for {call}\r\n"), setup
+        return encode_message("setup", call, fields=fields, sdp=f"asked for {call}\r\n")
 
     def _set_up(self, stream: LineStream, piece_delay_ms: float | None = None) -> CallerSetUp:
         data, setup = self._new_set_up()
--- a/lab/fleet/script.py
+++ b/lab/fleet/script.py
@@ -43,10 +43,10 @@
     Proxies: kill, term, start, stop, cont, hold and show (queue and publish server list updates), down and
     up (the notice board refuses connections), mute and unmute (it does not answer), reload (a new
     configuration), move (also a new address of the board), crowd and rough (misbehaving callers).  Booking
-    servers: drain, die, back (restart), slow, fail, hang, deaf (refuse connections), spoil (unreadable
-    messages), add, over (the last server takes over the first one's addresses).  Links: dark (partition),
-    light (heal), delay, cut (reset), lose, late (connections do not come up), pieces; links of all proxies or
-    all servers if none are named.
+    servers: drain, die, back (restart), vanish and return (likewise, but the notice board is not told), slow,
+    fail, hang, deaf (refuse connections), spoil (unreadable messages), add, over (the last server takes over
+    the first one's addresses).  Links: dark (partition), light (heal), delay, cut (reset), lose, late
+    (connections do not come up), pieces; links of all proxies or all servers if none are named.
     """
 
     at_ms: float
@@ -217,7 +217,14 @@
     end_ms = 1000.0 * shape.seconds
     proxies, servers = range(shape.proxies), range(shape.servers)
     steps: list[Step] = [Step(0.0, "rough", tuple(proxies), value=rng.choice((2.0, 5.0)))]
-    server_faults = (_silent_server, _silent_server, _replaced_server, _disturbed_server, _disturbed_links)
+    server_faults = (
+        _silent_server,
+        _silent_server,
+        _lost_machine,
+        _replaced_server,
+        _disturbed_server,
+        _disturbed_links,
+    )
     for server in servers:
         steps += rng.choice(server_faults)(server, shape, rng, end_ms)
         if rng.random() < 0.4:
@@ -245,6 +252,26 @@
     return [Step(at_ms, begin, who, (server,), value), Step(until_ms, end, who, (server,))]
 
 
+def _lost_machine(server: int, shape: Shape, rng: random.Random, end_ms: float) -> list[Step]:
+    """A machine vanishes; another process is at its address early, late or twice, and the list is silent."""
+    at_ms = rng.uniform(0.1, 0.5) * end_ms
+    steps: list[Step] = []
+    for _ in range(rng.choice((1, 1, 2))):
+        back_ms = at_ms + rng.choice(
+            (rng.uniform(0.0, 100.0), rng.uniform(200.0, 1500.0), rng.uniform(3000.0, 6000.0))
+        )
+        steps += [
+            Step(at_ms, "dark", servers=(server,)),
+            Step(at_ms, "vanish", servers=(server,)),
+            Step(back_ms, "return", servers=(server,)),
+            Step(back_ms, "light", servers=(server,)),
+        ]
+        at_ms = back_ms + rng.uniform(300.0, 2500.0)
+    if rng.random() < 0.3:
+        steps.append(Step(steps[0].at_ms - rng.uniform(0.0, 300.0), "drain", servers=(server,)))
+    return steps
+
+
 def _replaced_server(server: int, shape: Shape, rng: random.Random, end_ms: float) -> list[Step]:
     """A server is replaced: drained, dead or hung first, at its own or at its successor's address."""
     if server >= shape.spares:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -11,7 +11,7 @@
 from lab.fleet import soak
 from lab.fleet.processes import PROXIES_PER_BLOCK, AddressBlock
 
-SEEDS = range(1, 13)
+SEEDS = (*range(1, 13), 16)
 WORKERS = 2  # days at a time
 MIN_TRIES = 50
 
