--- a/capershelf/cli.py
+++ b/capershelf/cli.py
@@ -14,7 +14,7 @@
 from capershelf import logs
 from capershelf.net.connection import start_thread
 from capershelf.node import Node
-from capershelf.process_memory import limit_arenas, resident_memory_mb
+from capershelf.process_stats import limit_arenas, resident_memory_mb
 from capershelf.release import VERSION
 from capershelf.reload import Reloader
 from capershelf.signals import STOPPED, Signals
--- a/capershelf/fronts/session.py
+++ b/capershelf/fronts/session.py
@@ -12,6 +12,7 @@
 
 from capershelf.core import model
 from capershelf.core.clock import Clock, Inbox
+from capershelf.fronts.recent_ids import RecentIds
 from capershelf.net import vocabulary
 from capershelf.net.connection import Connection
 from capershelf.net.framing import CloseConnectionError, Framing
@@ -157,9 +158,9 @@
         self._abandoned: set[str] = set()  # open calls whose caller no longer waits
         self._attached: set[str] = set()  # calls that were set up on another connection
         # Calls whose outcome or end was sent here although no set-up of theirs had been read here.
-        self._told_unasked: dict[str, None] = {}
-        # Keys of set-ups on this connection with a negative outcome, the latest last.
-        self._rejected_ids: dict[str, None] = {}
+        self._told_unasked = RecentIds(MAX_TOLD_IDS)
+        # Of set-ups on this connection with a negative outcome, in lower case.
+        self._rejected_ids = RecentIds(MAX_REJECTED_IDS)
         self._disconnected = False
         self.awaiting_first_message = True  # no complete message has been received
         self.messages_received = 0
@@ -251,11 +252,11 @@
             was_requested = message.id in self._open or message.id in self._established
             self._forget_call(message.id)
             if isinstance(message, model.Refused | model.Failed):
-                self._note_rejected(message.id)
+                self._rejected_ids.add(message.id.lower())
             if not self._may_reach_caller(message):
                 return False  # another connection of the caller may take it
             if not was_requested:
-                self._note_told_unasked(message.id)
+                self._told_unasked.add(message.id)
             self.last_activity_ms = self._clock.now_ms()
             self._message_tokens += TOKENS_PER_OUTCOME
             self._end_awaits_ping |= isinstance(message, model.Ended)
@@ -266,26 +267,10 @@
                 self._message_tokens += TOKENS_PER_ANSWER
         return self.connection.send(vocabulary.encode_caller_message(message))
 
-    def _note_rejected(self, call_id: str) -> None:
-        """Remember that this connection has no call of this id.  The caller holds the lock."""
-        self._rejected_ids[call_id.lower()] = None
-        if len(self._rejected_ids) > MAX_REJECTED_IDS:
-            del self._rejected_ids[next(iter(self._rejected_ids))]
-
-    def _note_told_unasked(self, call_id: str) -> None:
-        """Remember that a repeated set-up of this call needs no other outcome.  The caller holds the lock."""
-        self._told_unasked[call_id] = None
-        if len(self._told_unasked) > MAX_TOLD_IDS:
-            del self._told_unasked[next(iter(self._told_unasked))]
-
-    def _take_told_unasked(self, call_id: str) -> bool:
-        """Whether this set-up's outcome has been sent here already.  The caller holds the lock."""
-        return self._told_unasked.pop(call_id, self) is None
-
     def discard_set_up(self, call_id: str) -> None:
         """Drop a repeated set-up whose outcome was sent here after it had been read."""
         with self._lock:
-            self._told_unasked.pop(call_id, None)
+            self._told_unasked.take(call_id)
             if (size := self._open.pop(call_id, None)) is not None:
                 self._context.free_reservation(size)
 
@@ -455,7 +440,7 @@
     def _handle_set_up(self, message: dict[str, object], now_ms: float) -> None:
         call = vocabulary.parse_call_id(message)
         with self._lock:
-            if self._take_told_unasked(call):
+            if self._told_unasked.take(call):
                 return  # repeated by a caller that has reconnected, and has been sent its outcome meanwhile
             if call in self._open or call in self._established:
                 # An outcome could not be matched to one of the two.
@@ -465,7 +450,7 @@
             min_expires_ms = min(request.expires_ms, now_ms + MIN_REMAINING_MS)
             request = replace(request, expires_ms=max(min_expires_ms, request.expires_ms - unread_ms))
         with self._lock:
-            if self._take_told_unasked(call):
+            if self._told_unasked.take(call):
                 return
             size = len(request.description)
             accepted = len(self._open) < min(MAX_OPEN_SET_UPS, BASE_OPEN_SET_UPS + self._answered_calls) and (
--- a/tests/bad_client_rig.py
+++ b/tests/bad_client_rig.py
@@ -35,6 +35,9 @@
     def __init__(self, loop: EventLoop) -> None:
         self.loop = loop
         self.set_ups: list[tuple[float, str]] = []  # arrival and call
+        self.processes: list[list[str]] = [[]]  # the set-ups that reached each process, in their order
+        self.hold_ms = HOLD_MS
+        self.replaced_ms = -math.inf  # when the present process took the place of another one
         self._unanswered: dict[str, LinkConnection] = {}
         self.released: list[str] = []
         self.answers = True
@@ -54,6 +57,7 @@
         call = message["id"]
         if message["type"] == "setup":
             self.set_ups.append((self.loop.now_ms, call))
+            self.processes[-1].append(call)
             self._unanswered[call] = connection
             if self.answers:
                 self._answer(call)
@@ -63,6 +67,18 @@
         elif message["type"] == "ping":
             connection.send(encode_message("pong", call, cause=1))
 
+    def restart(self) -> None:
+        """Put another process, which answers, at the address of this one.  For any thread."""
+
+        def replace() -> None:
+            self.replaced_ms = self.loop.now_ms
+            self._unanswered.clear()
+            self.processes.append([])
+            self.answers = True
+            self.link.reset_connections()
+
+        self.loop.poller.call_soon(replace)
+
     def answer(self, call: str) -> None:
         """Answer a set-up that was left unanswered, unless it was given up.  For any thread."""
         self.loop.poller.call_soon(lambda: self._answer(call))
@@ -70,7 +86,7 @@
     def _answer(self, call: str) -> None:
         if (connection := self._unanswered.pop(call, None)) is not None:
             connection.send(encode_message("answer", call, sdp=f"of {call}"))
-            self.loop.after(HOLD_MS, connection.send, encode_message("release", call, cause=16))
+            self.loop.after(self.hold_ms, connection.send, encode_message("release", call, cause=16))
 
 
 @dataclass(slots=True)
