A connection that is lent a call does not own it by naming its id

While a WebSocket is lost, another connection of its host gets its calls' messages. A set-up under such an id, with another description, was taken for the call's own there, and its release ended the call. It is rejected now.

--- a/capershelf/core/call_ownership.py
+++ b/capershelf/core/call_ownership.py
@@ -53,7 +53,7 @@
 
         A repetition gets the call's outcome on its own connection, without taking it from another one.
         """
-        if caller in (*call.requested_on, call.caller) and call.state is model.CallState.OPEN:
+        if caller in call.requested_on and call.state is model.CallState.OPEN:
             return  # its outcome is sent here anyway
         if call.was_told_unasked(caller):
             caller.discard_set_up(request.id)
--- a/tests/test_call_ownership.py
+++ b/tests/test_call_ownership.py
@@ -99,6 +99,23 @@
     assert (message["type"], message["id"], message["cause"]) == ("release", A, 16)
 
 
+def test_a_connection_that_was_lent_a_call_does_not_own_it(websocket: NodeHarness) -> None:
+    """Guards against an open call that ends as another client, lent its messages, uses its id."""
+    caller, other = websocket.caller(), websocket.caller()
+    caller.set_up(A)
+    assert websocket.servers[0].receive()["id"] == A
+    caller.disconnect()
+    call = websocket.planner.calls.by_key[int(A, 16)]
+    websocket.until(lambda: call.detached_from is not None and call.caller is not None)
+    misuse(other, "another description", A)
+    assert [message["cause"] for message in wait_until_read(other)] in ([], [100])
+    websocket.settle()
+    assert websocket.servers[0].received.empty(), "the attempt was given up"
+    again = websocket.caller()
+    websocket.links[0].send("answer", A, sdp="v=0")
+    assert again.receive()["type"] == "answer"
+
+
 def test_a_stranger_that_copies_a_set_up_and_releases_it_ends_nothing_later(websocket: NodeHarness) -> None:
     """Guards against a call that ends with its caller's connection, as a copy of its set-up was released."""
     caller = websocket.caller()
