Give the clients of the generator that read nothing addresses of their own

The fixtures and the import of ctypes are where they belong, too.

By reading, a fault of the new rules: ends may be told on any connection of a client's address, and the clients that misuse ids or flood read nothing and had the address of the others. They have one each now.

--- a/capershelf/process_stats.py
+++ b/capershelf/process_stats.py
@@ -6,6 +6,11 @@
 import os
 from pathlib import Path
 
+try:
+    import ctypes
+except ImportError:  # an interpreter that was built without it
+    ctypes = None  # type: ignore[assignment]
+
 M_ARENA_MAX = -8  # of mallopt(3)
 STATM = Path("/proc/self/statm")  # in pages: total, resident, shared, ...
 
@@ -25,7 +30,7 @@
     Hundreds of threads would otherwise leave their freed memory in dozens of arenas.  They hold the
     interpreter's lock whenever they allocate, so that they do not compete for the one arena.
     """
-    with contextlib.suppress(ImportError, OSError, AttributeError):  # an interpreter or C library without it
-        import ctypes
-
+    if ctypes is None:
+        return
+    with contextlib.suppress(OSError, AttributeError):  # a C library without it
         ctypes.CDLL(None).mallopt(M_ARENA_MAX, 1)
--- a/lab/fleet/rough_callers.py
+++ b/lab/fleet/rough_callers.py
@@ -263,7 +263,13 @@
         return f"127.250.{self._rng.randrange(1, 255)}.{self._rng.randrange(1, 255)}"
 
     def _connect(self, websocket: bool = False, own_host: str = "", hears: bool = True) -> LineStream | None:
-        """Connect to a front of the proxy; hears: messages on the connection are for these callers."""
+        """Connect to a front of the proxy.
+
+        hears: messages on the connection are for these callers.  One that does not hear is another client, at
+        an address of its own: ends may be told on any connection of a client's address.
+        """
+        if not hears:
+            own_host = self._own_host()
         run = self._current_run()
         if run is None or not run.ready_ms <= self.loop.now_ms < run.term_ms + NEW_CONNECTION_MS:
             return None
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,14 +3,12 @@
 from __future__ import annotations
 
 import sys
-from collections.abc import Iterator
 from pathlib import Path
 
 import pytest
 from loguru import logger
 
 from tests import known_red
-from tests.peers import NodeHarness
 
 logger.remove()
 logger.add(sys.stderr, level="ERROR", format="{message}", backtrace=False, diagnose=False)
@@ -24,22 +22,6 @@
 }
 
 
-@pytest.fixture(params=[False, True], ids=["lines", "websocket"])
-def harness(request: pytest.FixtureRequest) -> Iterator[NodeHarness]:
-    """A node whose callers and booking servers speak JSON lines, and one where they speak WebSocket."""
-    made = NodeHarness(request.param)
-    yield made
-    made.end()
-
-
-@pytest.fixture
-def websocket() -> Iterator[NodeHarness]:
-    """A node whose callers and booking servers speak WebSocket."""
-    made = NodeHarness(True)
-    yield made
-    made.end()
-
-
 def pytest_collection_modifyitems(config: pytest.Config, items: list[pytest.Item]) -> None:
     try:
         entries = known_red.read(KNOWN_RED)
--- a/tests/test_call_ownership.py
+++ b/tests/test_call_ownership.py
@@ -5,6 +5,7 @@
 import json
 import queue
 import socket
+from collections.abc import Iterator
 from typing import Any
 
 import pytest
@@ -18,6 +19,20 @@
 DESCRIPTION = f"sdp of {A}\r\n"
 
 
+@pytest.fixture(params=[False, True], ids=["lines", "websocket"])
+def harness(request: pytest.FixtureRequest) -> Iterator[NodeHarness]:
+    made = NodeHarness(request.param)
+    yield made
+    made.end()
+
+
+@pytest.fixture
+def websocket() -> Iterator[NodeHarness]:
+    made = NodeHarness(True)
+    yield made
+    made.end()
+
+
 def connect(harness: NodeHarness, on_websocket: bool, host: str = "127.0.0.1") -> Peer:
     front = harness.node.fronts[int(on_websocket)]
     sock = socket.create_connection(("127.0.0.1", front.port), source_address=(host, 0))
