End a paced connection's pause at its shut-down; do not share test ports

The whole suite on, in two fresh clones side by side: 1084 passed, 2 failed, and 1085 passed, 1 failed. - test_serve_to_serve_under_load (both): by reading, both runs took the same port and called each other's proxies, since the search for a free port began at 21,000 in each. It begins elsewhere in each process now. - test_a_crowd...[lines-slow] (one): the usual client was turned away. By reading, an evicted connection slept through the pause of its reading, up to 0.25 s, and kept its slot longer than a newcomer waits for one. A shut-down ends the pause.

Measured: the crowd's cases, test_memory_running, test_start, test_known_red, test_crossings and test_framing_states pass.

--- a/capershelf/net/connection.py
+++ b/capershelf/net/connection.py
@@ -16,7 +16,6 @@
 import struct
 import termios
 import threading
-import time
 from collections import deque
 from collections.abc import Callable
 
@@ -92,6 +91,13 @@
     return bool(poll.poll(None if remaining_s is None else math.ceil(remaining_s * 1000.0)))
 
 
+def wait_shut_down(sock: socket.socket, seconds: float) -> None:
+    """Wait that long, or until the socket is shut down or reset, whatever can be read meanwhile."""
+    poll = select.poll()
+    poll.register(sock, 0)  # a hang-up and an error are always reported
+    poll.poll(math.ceil(seconds * 1000.0))
+
+
 def wait_writable(sock: socket.socket) -> None:
     """Wait until the socket is writable or shut down."""
     poll = select.poll()
@@ -421,7 +427,7 @@
 
     def _wait(self) -> bool:
         if self._pause_s > 0.0:
-            time.sleep(self._pause_s)
+            wait_shut_down(self._sock, self._pause_s)
         while not wait_readable(self._sock, self._clock, self.deadline_ms()):
             self._check_deadline()
         return True
--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import signal
+import socket
+import threading
 import time
 from collections import Counter
 from collections.abc import Iterator
@@ -12,6 +14,7 @@
 
 from capershelf.core.caller_connections import REPEAT_GRACE_MS
 from capershelf.net import websocket as ws
+from capershelf.net.connection import wait_shut_down
 from capershelf.net.framing import CloseConnectionError
 from capershelf.net.http import MAX_HEAD_FIELDS, HttpError, parse_head
 from capershelf.net.read_pacing import (
@@ -107,6 +110,16 @@
     assert pacer.pause_s(0, 0, True) < PARTIAL_READ_PAUSES_S[-1]
 
 
+def test_a_pause_ends_as_soon_as_the_connection_is_shut_down() -> None:
+    """Guards against evicted slow writers that keep their slot, so that newcomers are turned away."""
+    near, far = socket.socketpair()
+    far.send(b"x")  # unread data does not end the pause
+    began_s = time.monotonic()
+    threading.Timer(0.05, near.shutdown, (socket.SHUT_RDWR,)).start()
+    wait_shut_down(near, 10.0)
+    assert 0.04 <= time.monotonic() - began_s < 5.0
+
+
 def test_a_head_of_very_many_fields_is_not_parsed() -> None:
     """Guards against picture (a): hundreds of such heads at once took 40 MB and seconds of the processor."""
     fields = "".join(f"{n:x}:\r\n" for n in range(MAX_HEAD_FIELDS + 1))
--- a/tests/test_memory_running.py
+++ b/tests/test_memory_running.py
@@ -326,13 +326,18 @@
             self._close_oldest()
 
 
+FIRST_PORT, PORT_STEP, PORTS = 21_000, 7, 1142  # up to 28,987
+
+
 def free_port() -> int:
     """Return a free port below the ephemeral range.
 
     A caller that connects while no proxy listens could otherwise be given this port as its own, connect to
     itself, and keep the next proxy from listening.
     """
-    for port in range(21_000, 29_000, 7):
+    for number in range(PORTS):
+        # Begins elsewhere for each process: another run of the tests on this machine must not pick the same.
+        port = FIRST_PORT + PORT_STEP * ((os.getpid() + number) % PORTS)
         try:
             socket.create_server(("127.0.0.1", port)).close()
         except OSError:
