Hold a repeated set-up that comes before the close of its first connection

On JSON lines a set-up that came again while its first connection still seemed open got cause 100 at once, also where that connection's close was only on its way. A release or bad input of the connection that sent it ends the held set-up alone.

--- a/capershelf/core/call_ownership.py
+++ b/capershelf/core/call_ownership.py
@@ -9,19 +9,31 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from loguru import logger
 
 from capershelf.core import model
-from capershelf.core.call_table import CallTable
-from capershelf.core.caller_connections import CallerConnections
+from capershelf.core.caller_connections import REPEAT_GRACE_MS, CallerConnections
+from capershelf.core.clock import Clock
 from capershelf.core.finished_calls import FinishedCall
+from capershelf.core.timers import Timer
 
 
 class CallOwnership:
     """The claims of connections on a planner's calls.  Planner thread only."""
 
-    def __init__(self, calls: CallTable, callers: CallerConnections) -> None:
-        self._calls, self._callers = calls, callers
+    def __init__(
+        self,
+        callers: CallerConnections,
+        clock: Clock,
+        schedule: Callable[[float, Callable[[], None]], Timer],
+        handle_again: Callable[[model.SetUp, model.Caller], None],
+    ) -> None:
+        self._callers, self._clock, self._schedule = callers, clock, schedule
+        self._handle_again = handle_again
+        # By key and connection: set-ups that are repetitions if the first connection is lost soon.
+        self._held: dict[tuple[int, model.Caller], model.SetUp] = {}
 
     # -- set-ups of finished calls --------------------------------------------------------------------
     def repeat_finished(self, call: FinishedCall, request: model.SetUp, caller: model.Caller) -> bool:
@@ -48,10 +60,11 @@
         caller.notify(model.Failed(request.id, model.CAUSE_INVALID))
 
     # -- repeated set-ups -----------------------------------------------------------------------------
-    def repeat(self, call: model.Call, request: model.SetUp, caller: model.Caller) -> None:
+    def repeat(self, call: model.Call, request: model.SetUp, caller: model.Caller, may_hold: bool) -> None:
         """Handle a set-up under the id of a known call; never starts an attempt.
 
         A repetition gets the call's outcome on its own connection, without taking it from another one.
+        may_hold: the close of the call's connection may still be on its way.
         """
         if caller in call.requested_on and call.state is model.CallState.OPEN:
             return  # its outcome is sent here anyway
@@ -60,7 +73,10 @@
             call.requested_on.append(caller)
             return
         if not self.is_repetition(call, request, caller):
-            self._reject(request, caller)
+            if may_hold and self._is_same_set_up(call, request, caller):
+                self._hold(request, caller)
+            else:
+                self._reject(request, caller)
             return
         logger.info(
             "call {call}: caller reconnected, call state {state}",
@@ -79,14 +95,42 @@
 
         On a front where an open call ends with its connection, only once that connection is lost.
         """
+        return self._is_same_set_up(call, request, caller) and (
+            caller.calls_outlive_connection or not self._is_claimed(call)
+        )
+
+    @staticmethod
+    def _is_same_set_up(call: model.Call, request: model.SetUp, caller: model.Caller) -> bool:
+        """Whether the client of the call sends its set-up on another connection."""
         return (
             caller not in call.requested_on
-            and (caller.calls_outlive_connection or not self._is_claimed(call))
             and call.client == model.Client.of(caller)
             and call.request.call_class == request.call_class
             and call.request.description == request.description
         )
 
+    def _hold(self, request: model.SetUp, caller: model.Caller) -> None:
+        """Handle the set-up again a little later."""
+        held = request.key, caller
+        self._held[held] = request
+
+        def handle() -> None:
+            if self._held.pop(held, None) is None:
+                return
+            if caller.is_waiting(request.id):
+                self._handle_again(request, caller)
+            else:
+                caller.call_ended(request.id)
+
+        self._schedule(min(self._clock.now_ms() + REPEAT_GRACE_MS, request.expires_ms), handle)
+
+    def reject_held(self, caller: model.Caller) -> None:
+        """Give the held set-ups of a connection that will be closed their outcome."""
+        for held, request in list(self._held.items()):
+            if held[1] is caller:
+                del self._held[held]
+                caller.notify(model.Failed(request.id, model.CAUSE_INVALID))
+
     @staticmethod
     def _is_claimed(call: model.Call) -> bool:
         """Whether the call's messages go to a live connection that the set-up was sent on."""
@@ -99,6 +143,9 @@
 
         Otherwise it ends this connection's claim, if there is one.
         """
+        if self._held.pop((call.request.key, caller), None) is not None:
+            caller.call_ended(call.request.id)
+            return False
         has_claim = caller in call.requested_on
         if caller is call.caller and (has_claim or not caller.was_rejected(call.request.id)):
             return not self.hand_over(call)
--- a/capershelf/core/planner.py
+++ b/capershelf/core/planner.py
@@ -72,7 +72,7 @@
         self._callers = CallerConnections(
             self.calls, clock, self.schedule, self._abandon, self._release_established, self._remove_call
         )
-        self._ownership = CallOwnership(self.calls, self._callers)
+        self._ownership = CallOwnership(self._callers, clock, self.schedule, self._set_up_held)
         self._silence_watch = SilenceWatch(clock, self.schedule, self)
         self._lost_connections = LostConnections(clock, self.schedule, self)
         self._list_version = 0
@@ -178,10 +178,14 @@
                 self.save_learned()  # now, as the process may be killed before the shutdown completes
 
     # -- callers --------------------------------------------------------------------------------------
-    def _set_up(self, request: model.SetUp, caller: model.Caller) -> None:
+    def _set_up_held(self, request: model.SetUp, caller: model.Caller) -> None:
+        """Handle a set-up that was held until the connection of its call could have closed."""
+        self._set_up(request, caller, may_hold=False)
+
+    def _set_up(self, request: model.SetUp, caller: model.Caller, may_hold: bool = True) -> None:
         known = self.calls.by_key.get(request.key)
         if known is not None and not self._abandon_if_caller_left(known, request, caller):
-            self._ownership.repeat(known, request, caller)
+            self._ownership.repeat(known, request, caller, may_hold)
             return
         now_ms = self.clock.now_ms()
         finished = self.calls.finished.find(request.key, now_ms)
@@ -253,6 +257,7 @@
 
     def _caller_rejected(self, caller: model.Caller) -> None:
         """Give the open set-ups of a caller that will be disconnected their outcome."""
+        self._ownership.reject_held(caller)
         for call in self.calls.open_calls():
             if call.caller is not caller and caller not in call.requested_on:
                 continue
--- a/tests/test_repeated_set_ups.py
+++ b/tests/test_repeated_set_ups.py
@@ -8,6 +8,7 @@
 import pytest
 
 from capershelf.core import finished_calls, model
+from capershelf.core.caller_connections import REPEAT_GRACE_MS
 from capershelf.core.finished_calls import FinishedCalls
 from tests.peers import NodeHarness, Peer, until
 from tests.test_crossings import BlockedPlanner
@@ -98,6 +99,57 @@
     assert not any(one._open for one in websocket.node.fronts[1]._sessions)
 
 
+@pytest.mark.parametrize("answered", ["before it", "while it is held", "after the close"])
+def test_a_set_up_that_comes_before_the_close_of_its_first_connection_joins_its_call(answered: str) -> None:
+    """Guards against cause 100 for a client whose own close was still on its way, on JSON lines."""
+    harness = NodeHarness(False)
+    try:
+        caller, again = harness.caller(), harness.caller()
+        caller.set_up(A)
+        assert harness.servers[0].receive()["id"] == A
+        if answered == "before it":
+            give_outcome(harness, "answered")
+            assert caller.receive()["type"] == "answer"
+        again.set_up(A)
+        harness.until(lambda: bool(harness.planner._ownership._held))
+        if answered == "while it is held":
+            give_outcome(harness, "answered")
+            assert caller.receive()["type"] == "answer"
+        caller.disconnect()
+        harness.until(
+            lambda: not any(one.is_reachable() for one in (harness.planner.calls.by_key[int(A, 16)].told_on))
+        )
+        harness.advance(REPEAT_GRACE_MS)
+        if answered == "after the close":
+            give_outcome(harness, "answered")
+        assert again.receive()["type"] == "answer"
+        assert outcomes(harness, again) == [] and len(harness.attempts) == 1
+        assert harness.servers[0].received.empty()
+    finally:
+        harness.end()
+
+
+def test_a_held_set_up_of_another_client_is_rejected_and_its_release_ends_nothing() -> None:
+    harness = NodeHarness(False)
+    try:
+        caller, other, late = harness.caller(), harness.caller(), harness.caller()
+        caller.set_up(A)
+        assert harness.servers[0].receive()["id"] == A
+        harness.links[0].send("answer", A, sdp="v=0")
+        assert caller.receive()["type"] == "answer"
+        late.set_up(A)
+        harness.until(lambda: bool(harness.planner._ownership._held))
+        other.set_up(A)
+        other.send("release", A, cause=16)
+        assert outcomes(harness, other) == []
+        harness.advance(REPEAT_GRACE_MS)
+        assert outcomes(harness, late) == [("release", 100)]
+        assert outcomes(harness, other) == []
+        assert harness.servers[0].received.empty() and not harness.planner._ownership._held
+    finally:
+        harness.end()
+
+
 @pytest.mark.parametrize("state", ["established", "ended", "ended and told"])
 def test_a_call_that_stood_is_not_run_again_when_its_set_up_is_repeated(
     harness: NodeHarness, state: str
