Lost machines: what the list says of them, late, wrongly or twice

Seven more cases in test_lost_machine: the start listed late or too late, drains before, during and after the loss, a removal and a new listing while the machine is gone; each with tests allowed and without.

--- a/tests/test_lost_machine.py
+++ b/tests/test_lost_machine.py
@@ -7,6 +7,7 @@
 import queue
 import socket
 import threading
+import time
 from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
@@ -41,6 +42,8 @@
     draining: bool = False
     greets: bool = True  # a new process begins each connection with a report
     process_lives: bool = False
+    # When the list says what of it: draining, removed, up, or started (up, with the time of the start).
+    listed: tuple[tuple[float, str], ...] = ()
 
 
 CASES = (
@@ -56,6 +59,17 @@
     Case("draining, never back", draining=True),
     Case("draining, back early", back_ms=(300.0,), draining=True),
     Case("draining, back late", back_ms=(5000.0,), draining=True),
+    Case("back early, the start listed late", back_ms=(300.0,), listed=((4500.0, "started"),)),
+    Case("back late, the start listed too late", back_ms=(5000.0,), listed=((9000.0, "started"),)),
+    Case("back early, then listed as draining", back_ms=(300.0,), listed=((1500.0, "draining"),)),
+    Case("listed as draining while it is gone", back_ms=(5000.0,), listed=((1000.0, "draining"),)),
+    Case("removed late, never back", listed=((4000.0, "draining"), (7000.0, "removed"))),
+    Case("removed and listed again", back_ms=(2500.0,), listed=((500.0, "removed"), (1000.0, "up"))),
+    Case(
+        "drained and up again while it is gone",
+        back_ms=(3000.0,),
+        listed=((500.0, "draining"), (2000.0, "up")),
+    ),
     Case("only disconnected", back_ms=(0.0,), process_lives=True),
     Case("only cut off", back_ms=(2500.0,), process_lives=True),
     Case("draining, only silent", draining=True, process_lives=True),
@@ -68,7 +82,7 @@
     def __init__(self, loop: EventLoop, case: Case) -> None:
         self.loop, self.case = loop, case
         self.reports, self.calls, self.lost_at_ms = 0, set[str](), dict[str, float]()
-        self._dark = False
+        self.started_ms = 0  # of the process that came back
         self._silent = False
         self._greets = True
         self.link = Link(loop, "127.0.0.1", 0, lambda: 1.0, lambda: 1, self._on_connection)
@@ -121,6 +135,7 @@
         self.link.reset_connections()
 
     def _return(self) -> None:
+        self.started_ms = int(self.loop.now_ms)
         self.link.heal()
 
     def _end_a_call(self) -> None:
@@ -153,8 +168,8 @@
                 "uid": f"s{n}",
                 "endpoint": self.machines[n].link.address,
                 "pod_group": n,
-                "state": state,
-                "boot_ms": 0,
+                "state": "up" if state == "started" else state,
+                "boot_ms": self.machines[n].started_ms if state == "started" else 0,
             }
             for n in chosen
         ]
@@ -171,22 +186,30 @@
     def play(self) -> None:
         """Establish the calls, lose the machines and record when the caller is told of each end."""
         until(lambda: all(machine.reports for machine in self.machines))
-        for number in range(CALLS_PER_SERVER * len(CASES)):
-            self.caller.set_up(f"{number:016x}", extras=f"dest:{number // CALLS_PER_SERVER}")
-        for _ in range(CALLS_PER_SERVER * len(CASES)):
-            assert self.caller.receive()["type"] == "answer"
+        for number in range(CALLS_PER_SERVER):
+            for n in range(len(CASES)):
+                self.caller.set_up(f"{n * CALLS_PER_SERVER + number:016x}", extras=f"dest:{n}")
+            for _ in CASES:
+                assert self.caller.receive()["type"] == "answer"
         draining = [n for n, case in enumerate(CASES) if case.draining]
         assert self.board.poll({"rev": 2, "notices": [self._event(2, draining, "draining")]}) == "1"
-        assert self.board.poll() == "2"  # the list says nothing from now on
         began_ms = self.loop.now_ms
         for machine in self.machines:
             self.loop.poller.call_soon(machine.begin)
+        threading.Thread(target=self._tell, args=(began_ms,), daemon=True).start()
         later = [n for n, case in enumerate(CASES) if len(case.lost_ms) > 1]
         self._record_until(began_ms + LATER_CALL_MS)
         for n in later:
             self.caller.set_up(f"{LATER_CALLS + n:016x}", left_ms=400, extras=f"dest:{n}")
         self._record_until(began_ms + max(max(case.lost_ms) for case in CASES) + DEADLINE_MS)
 
+    def _tell(self, began_ms: float) -> None:
+        """Let the list say what it says of each machine, in the order of time."""
+        told = sorted((at_ms, n, state) for n, case in enumerate(CASES) for at_ms, state in case.listed)
+        for number, (at_ms, n, state) in enumerate(told, 3):
+            time.sleep(max(0.0, began_ms + at_ms - self.loop.now_ms) / 1000.0)
+            self.board.poll({"rev": number, "notices": [self._event(number, [n], state)]})
+
     def _record_until(self, end_ms: float) -> None:
         while (remaining_ms := end_ms - self.loop.now_ms) > 0.0:
             try:
