Share the tests' node fixtures and the proxy process of their trials

The fixtures stood in five test files, the start and end of a process with its peers in three. conftest holds the former and imports the harness where it is used, as test_known_red copies it alone; tests/proxy_trial.py holds the latter.

--- a/tests/bad_client_rig.py
+++ b/tests/bad_client_rig.py
@@ -8,7 +8,6 @@
 import socket
 import subprocess
 import sys
-import threading
 import time
 from dataclasses import dataclass
 from pathlib import Path
@@ -17,10 +16,11 @@
 from capershelf.net.framing import Framing, Lines
 from capershelf.net.websocket import WebSocket
 from lab.fleet.network import EventLoop, Link, LinkConnection
-from lab.fleet.processes import ROOT, AddressBlock, free_port
+from lab.fleet.processes import ROOT, free_port
 from lab.fleet.servers import encode_message
-from tests.peers import PATIENCE_S, Peer, until
-from tests.test_reload import Program, table
+from tests.peers import Peer, until
+from tests.proxy_trial import ProxyTrial
+from tests.test_reload import table
 
 CALL_GAP_S = 0.04
 CALL_LEFT_MS = 2000
@@ -98,32 +98,29 @@
 
     @property
     def longest_ms(self) -> float:
+        """The longest wait."""
         return max(self.waits_ms, default=math.inf)
 
     @property
     def median_ms(self) -> float:
+        """The median wait."""
         return sorted(self.waits_ms)[len(self.waits_ms) // 2]
 
     @property
     def missing(self) -> int:
+        """How many outcomes did not come."""
         return sum(wait == math.inf for wait in self.waits_ms)
 
 
-class ProxyRig:
+class ProxyRig(ProxyTrial):
     """A real proxy process with both fronts."""
 
     def __init__(self, folder: Path, memory_mb: int = 64, sockets: int = 1024) -> None:
-        self.loop = EventLoop()
+        super().__init__()
         self.server = CountingServer(self.loop)
-        threading.Thread(target=self.loop.poller.run, daemon=True).start()
-        self.addresses = AddressBlock()
-        self.host = self.addresses.host(0)
         self.ports = free_port(self.host), free_port(self.host)
         self.memory_mb = memory_mb
-        path = folder / "config.json"
-        path.write_text(json.dumps(self._config(memory_mb, sockets)))
-        self.program = Program(path, sockets=sockets)
-        self.program.wait_for_log("serves on")
+        self.start(folder, self._config(memory_mb, sockets), sockets)
         until(lambda: self.server.link.connections)
 
     def _config(self, memory_mb: int, sockets: int) -> dict[str, Any]:
@@ -194,10 +191,3 @@
         while len(waits_ms) < len(sent_s) and time.monotonic() < until_s:
             collect(min(until_s, time.monotonic() + 0.1))
         return Waits([waits_ms.get(call, math.inf) for call in sent_s], answered)
-
-    def end(self) -> None:
-        """End the process that was started here."""
-        self.program.process.kill()
-        self.program.process.wait(PATIENCE_S)
-        self.loop.poller.end()
-        self.addresses.release()
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,13 +3,18 @@
 from __future__ import annotations
 
 import sys
+from collections.abc import Iterator
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import pytest
 from loguru import logger
 
 from tests import known_red
 
+if TYPE_CHECKING:
+    from tests.peers import NodeHarness
+
 logger.remove()
 logger.add(sys.stderr, level="ERROR", format="{message}", backtrace=False, diagnose=False)
 
@@ -22,6 +27,26 @@
 }
 
 
+@pytest.fixture(params=[False, True], ids=["lines", "websocket"])
+def harness(request: pytest.FixtureRequest) -> Iterator[NodeHarness]:
+    """A node with peers that speak JSON lines, and one with peers that speak WebSocket."""
+    yield from run_node(request.param)
+
+
+@pytest.fixture
+def websocket() -> Iterator[NodeHarness]:
+    """A node with peers that speak WebSocket."""
+    yield from run_node(True)
+
+
+def run_node(websocket: bool) -> Iterator[NodeHarness]:
+    from tests.peers import NodeHarness  # here, as test_known_red copies this file without it
+
+    made = NodeHarness(websocket)
+    yield made
+    made.end()
+
+
 def pytest_collection_modifyitems(config: pytest.Config, items: list[pytest.Item]) -> None:
     try:
         entries = known_red.read(KNOWN_RED)
--- a/tests/test_call_ownership.py
+++ b/tests/test_call_ownership.py
@@ -5,7 +5,6 @@
 import json
 import queue
 import socket
-from collections.abc import Iterator
 from typing import Any
 
 import pytest
@@ -14,25 +13,12 @@
 from capershelf.net.framing import Lines
 from capershelf.net.websocket import WebSocket
 from tests.peers import NodeHarness, Peer, until
+from tests.test_call_ends import establish
 
 A, B = (f"{n:016x}" for n in (0xA0, 0xA1))
 DESCRIPTION = f"sdp of {A}\r\n"
 
 
-@pytest.fixture(params=[False, True], ids=["lines", "websocket"])
-def harness(request: pytest.FixtureRequest) -> Iterator[NodeHarness]:
-    made = NodeHarness(request.param)
-    yield made
-    made.end()
-
-
-@pytest.fixture
-def websocket() -> Iterator[NodeHarness]:
-    made = NodeHarness(True)
-    yield made
-    made.end()
-
-
 def connect(harness: NodeHarness, on_websocket: bool, host: str = "127.0.0.1") -> Peer:
     front = harness.node.fronts[int(on_websocket)]
     sock = socket.create_connection(("127.0.0.1", front.port), source_address=(host, 0))
@@ -99,10 +85,7 @@
 ) -> None:
     """Guards against calls cut by a client whose own set-up under their id was rejected."""
     caller = harness.caller()
-    caller.set_up(A)
-    assert harness.servers[0].receive()["id"] == A
-    harness.links[0].send("answer", A, sdp="v=0")
-    assert caller.receive()["type"] == "answer"
+    establish(harness, caller, A)
     other = connect(harness, front)
     misuse(other, form, A)
     wait_until_read(other)
@@ -136,10 +119,7 @@
 def test_a_stranger_that_copies_a_set_up_and_releases_it_ends_nothing_later(websocket: NodeHarness) -> None:
     """Guards against a call that ends with its caller's connection, as a copy of its set-up was released."""
     caller = websocket.caller()
-    caller.set_up(A)
-    assert websocket.servers[0].receive()["id"] == A
-    websocket.links[0].send("answer", A, sdp="v=0")
-    assert caller.receive()["type"] == "answer"
+    establish(websocket, caller, A)
     other = websocket.caller()
     misuse(other, "the same set-up", A)
     wait_until_read(other)
--- a/tests/test_caller_returns.py
+++ b/tests/test_caller_returns.py
@@ -4,7 +4,7 @@
 
 import socket
 import struct
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 
 import pytest
 
@@ -58,20 +58,6 @@
 ]
 
 
-@pytest.fixture(params=[False, True], ids=["lines", "websocket"])
-def harness(request: pytest.FixtureRequest) -> Iterator[NodeHarness]:
-    made = NodeHarness(request.param)
-    yield made
-    made.end()
-
-
-@pytest.fixture
-def websocket() -> Iterator[NodeHarness]:
-    made = NodeHarness(True)
-    yield made
-    made.end()
-
-
 def end(harness: NodeHarness, call: str) -> None:
     harness.links[0].send("release", call, cause=16)
     harness.until(
--- a/tests/test_loopback.py
+++ b/tests/test_loopback.py
@@ -6,7 +6,7 @@
 import queue
 import socket
 import threading
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 from typing import Any
 
 import pytest
@@ -96,13 +96,6 @@
     assert second - first >= 200.0
 
 
-@pytest.fixture(params=[False, True], ids=["lines", "websocket"])
-def harness(request: pytest.FixtureRequest) -> Iterator[NodeHarness]:
-    made = NodeHarness(request.param)
-    yield made
-    made.end()
-
-
 @pytest.mark.parametrize(
     ("cause", "note", "expected"),
     [
--- a/tests/test_lost_machine.py
+++ b/tests/test_lost_machine.py
@@ -19,10 +19,11 @@
 from capershelf.net.framing import Lines
 from lab.fleet.checker import TIMING_SLACK_MS, Contract
 from lab.fleet.network import EventLoop, Link, LinkConnection
-from lab.fleet.processes import AddressBlock, free_port
+from lab.fleet.processes import free_port
 from lab.fleet.servers import encode_message
-from tests.peers import PATIENCE_S, Peer, until
-from tests.test_reload import BoardStandIn, Program, table
+from tests.peers import Peer, until
+from tests.proxy_trial import ProxyTrial
+from tests.test_reload import BoardStandIn, table
 
 HEARTBEAT_MS = 250.0
 DEADLINE_MS = Contract().undelivered_end_ms + TIMING_SLACK_MS
@@ -144,20 +145,15 @@
         open_ones[0].send(encode_message("release", min(self.calls), cause=16))
 
 
-class Trial:
+class Trial(ProxyTrial):
     """A proxy process, a machine for each case, and some calls established at each."""
 
     def __init__(self, folder: Path, may_probe: bool) -> None:
-        self.loop, self.board = EventLoop(), BoardStandIn()
+        super().__init__()
+        self.board = BoardStandIn()
         self.machines = [Machine(self.loop, case) for case in CASES]
-        threading.Thread(target=self.loop.poller.run, daemon=True).start()
-        self.addresses = AddressBlock()
-        host = self.addresses.host(0)
-        listen = f"{host}:{free_port(host)}"
-        path = folder / "config.json"
-        path.write_text(json.dumps(self._config(listen, may_probe)))
-        self.program = Program(path)
-        self.program.wait_for_log("serves on")
+        listen = f"{self.host}:{free_port(self.host)}"
+        self.start(folder, self._config(listen, may_probe))
         self.caller = Peer(socket.create_connection(parse_endpoint(listen)), Lines(), queue.SimpleQueue())
         self.told_at_ms: dict[str, float] = {}
         self.causes: dict[str, int] = {}
@@ -221,10 +217,7 @@
                 self.causes[message["id"]] = message["cause"]
 
     def end(self) -> None:
-        self.program.process.kill()
-        self.program.process.wait(PATIENCE_S)
-        self.loop.poller.end()
-        self.addresses.release()
+        super().end()
         self.board.listener.close()
 
 
--- a/tests/test_repeated_set_ups.py
+++ b/tests/test_repeated_set_ups.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 
-from collections.abc import Iterator
-
 import pytest
 
 from capershelf.core import finished_calls, model
@@ -19,20 +17,6 @@
 CAUSES = {"answered": None, "refused": 34, "failed": 17}
 
 
-@pytest.fixture(params=[False, True], ids=["lines", "websocket"])
-def harness(request: pytest.FixtureRequest) -> Iterator[NodeHarness]:
-    made = NodeHarness(request.param)
-    yield made
-    made.end()
-
-
-@pytest.fixture
-def websocket() -> Iterator[NodeHarness]:
-    made = NodeHarness(True)
-    yield made
-    made.end()
-
-
 def give_outcome(harness: NodeHarness, outcome: str) -> None:
     if outcome == "answered":
         harness.links[0].send("answer", A, sdp="v=0")
--- a/tests/test_silent_server.py
+++ b/tests/test_silent_server.py
@@ -6,7 +6,6 @@
 import math
 import queue
 import socket
-import threading
 from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
 from itertools import product
@@ -18,10 +17,11 @@
 from capershelf.net.framing import Lines
 from lab.fleet.checker import TIMING_SLACK_MS, Contract
 from lab.fleet.network import EventLoop, Link, LinkConnection
-from lab.fleet.processes import AddressBlock, free_port
+from lab.fleet.processes import free_port
 from lab.fleet.servers import encode_message
-from tests.peers import PATIENCE_S, Peer, until
-from tests.test_reload import Program, table
+from tests.peers import Peer, until
+from tests.proxy_trial import ProxyTrial
+from tests.test_reload import table
 
 HEARTBEAT_MS = 100.0
 LEARNED_AFTER_REPORTS = 8  # unsolicited reports on one connection, more than the proxy needs
@@ -79,20 +79,14 @@
         self.link.reset_connections()
 
 
-class Trial:
+class Trial(ProxyTrial):
     """A proxy process, one server for each case, and a call established at each."""
 
     def __init__(self, folder: Path, may_probe: bool) -> None:
-        self.loop = EventLoop()
+        super().__init__()
         self.servers = [SilentServer(self.loop, case) for case in CASES]
-        threading.Thread(target=self.loop.poller.run, daemon=True).start()
-        self.addresses = AddressBlock()
-        host = self.addresses.host(0)
-        listen = f"{host}:{free_port(host)}"
-        path = folder / "config.json"
-        path.write_text(json.dumps(self._config(listen, may_probe)))
-        self.program = Program(path)
-        self.program.wait_for_log("serves on")
+        listen = f"{self.host}:{free_port(self.host)}"
+        self.start(folder, self._config(listen, may_probe))
         self.caller = Peer(socket.create_connection(parse_endpoint(listen)), Lines(), queue.SimpleQueue())
         self.told_after_ms: dict[str, float] = {}
 
@@ -133,12 +127,6 @@
             if (number := int(message["id"], 16)) < LATER_CALLS:
                 self.told_after_ms[CASES[number]] = self.loop.now_ms - silent_from_ms
 
-    def end(self) -> None:
-        self.program.process.kill()
-        self.program.process.wait(PATIENCE_S)
-        self.loop.poller.end()
-        self.addresses.release()
-
 
 @pytest.fixture(scope="module")
 def trials(tmp_path_factory: pytest.TempPathFactory) -> Iterator[dict[bool, Trial]]:
--- a/tests/test_standstill.py
+++ b/tests/test_standstill.py
@@ -6,8 +6,6 @@
 from __future__ import annotations
 
 import tomllib
-from collections.abc import Iterator
-
 import pytest
 
 from capershelf import config as configuration
@@ -66,13 +64,6 @@
     assert pause.max_unread_ms(4001.0 + PAUSE_BACKLOG_MS) == 0.0
 
 
-@pytest.fixture(params=[False, True], ids=["lines", "websocket"])
-def harness(request: pytest.FixtureRequest) -> Iterator[NodeHarness]:
-    made = NodeHarness(request.param)
-    yield made
-    made.end()
-
-
 def attempt_time_ms(harness: NodeHarness, caller: Peer, call: str, left_ms: int) -> float:
     """Time limit of the attempt that results from a new set-up."""
     sent = len(harness.attempts)
