Begin a set-up whose WebSocket closed before it was handled once its client is back

Cause: an open call outlives its WebSocket, and so did one that had not begun. Nothing asked whether the client was there.

Change: such a call waits in the table until a connection of its client is back, and expires at its deadline otherwise.

--- a/capershelf/core/caller_connections.py
+++ b/capershelf/core/caller_connections.py
@@ -39,12 +39,13 @@
         calls: CallTable,
         clock: Clock,
         schedule: Callable[[float, Callable[[], None]], Timer],
+        begin: Callable[[model.Call], None],
         abandon: Callable[[model.Call], None],
         release: Callable[[model.Call, int], None],
         remove: Callable[[model.Call], None],
     ) -> None:
         self._calls, self._clock, self._schedule = calls, clock, schedule
-        self._abandon, self._release, self._remove = abandon, release, remove
+        self._begin, self._abandon, self._release, self._remove = begin, abandon, release, remove
         self._pinged: set[model.Caller] = set()  # to be closed unless they answer
 
     # -- connections that open and close --------------------------------------------------------------
@@ -132,6 +133,13 @@
             state=call.state.value,
         )
         caller.attach(call.request.id)
+        self._resume(call)
+
+    def _resume(self, call: model.Call) -> None:
+        """Go on with a call whose client is back on its present connection."""
+        if call.is_deferred:
+            call.is_deferred = False
+            self._begin(call)
         self.deliver_missed(call)
 
     def take_over(self, call: model.Call, caller: model.Caller) -> None:
@@ -141,7 +149,7 @@
         if call.caller is not None:
             call.caller.detach(call.request.id)
         call.caller = caller
-        self.deliver_missed(call)
+        self._resume(call)
 
     def ping_earlier_connections(self, caller: model.Caller) -> None:
         """Find out whether the caller's earlier connections, if they have calls, are still alive."""
--- a/capershelf/core/model.py
+++ b/capershelf/core/model.py
@@ -300,6 +300,7 @@
     # A disconnected client: any connection of it may take the call's messages.
     detached_from: Client | None = None
     state: CallState = CallState.OPEN
+    is_deferred: bool = False  # it begins when its client, which had left before it was handled, is back
     attempts: int = 0
     attempt: Attempt | None = None
     not_before_ms: float = -math.inf  # end of the release gap after its last attempt
--- a/capershelf/core/planner.py
+++ b/capershelf/core/planner.py
@@ -70,7 +70,13 @@
         self._pending_updates: deque[model.ServerListUpdate] = deque()  # handled before the inbox
         self.list_gate = ListGate(clock, self.schedule, self.has_pending_updates, self._resume_held_attempts)
         self._callers = CallerConnections(
-            self.calls, clock, self.schedule, self._abandon, self._release_established, self._remove_call
+            self.calls,
+            clock,
+            self.schedule,
+            self._begin,
+            self._abandon,
+            self._release_established,
+            self._remove_call,
         )
         self._ownership = CallOwnership(self._callers, clock, self.schedule, self._set_up_held)
         self._silence_watch = SilenceWatch(clock, self.schedule, self)
@@ -203,7 +209,14 @@
         call = self.calls.add(request, caller)
         # Guarantees an outcome by the deadline, whatever the controller does.
         call.expiry_timer = self.schedule(request.expires_ms, lambda: self._expire(call))
-        expires_ms = max(now_ms, request.expires_ms - DEADLINE_MARGIN_MS)
+        call.is_deferred = caller.calls_outlive_connection and not caller.is_reachable()
+        if not call.is_deferred:
+            self._begin(call)
+
+    def _begin(self, call: model.Call) -> None:
+        """Give a new call to the controller."""
+        request = call.request
+        expires_ms = max(self.clock.now_ms(), request.expires_ms - DEADLINE_MARGIN_MS)
         self._notify_controller(
             interface.NewCall(
                 request.key,
@@ -278,7 +291,8 @@
         if was_sent:
             gap_end_ms = self.clock.now_ms() + self._settings.release_ms
             self.schedule(gap_end_ms, self.calls.start_release_gap(key, gap_end_ms))
-        self._notify_controller(interface.CallAbandoned(key))
+        if not call.is_deferred:
+            self._notify_controller(interface.CallAbandoned(key))
         self._remove_call(call)
         if call.caller is not None:
             call.caller.call_ended(call.request.id)
--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -143,9 +143,10 @@
     caller.sock.close()
 
 
-def test_set_ups_of_a_client_that_has_left_are_not_sent_on(rig: ProxyRig) -> None:
-    """Picture (c) doesn't show: no set-up that was unread when its client left reaches a booking server."""
-    caller = rig.caller(False)
+@FRONTS
+def test_set_ups_of_a_client_that_has_left_are_not_sent_on(rig: ProxyRig, websocket: bool) -> None:
+    """Guards against picture (c): requests that were unread when their client left, and were sent on."""
+    caller = rig.caller(websocket)
     rig.server.answers = False
     caller.set_up(A)
     wait_for_set_ups(rig, 1)
@@ -155,7 +156,7 @@
     hang_up(caller)
     rig.program.process.send_signal(signal.SIGCONT)
     rig.server.answers = True
-    assert rig.usual_calls(False, 1.0).missing == 0
+    assert rig.usual_calls(not websocket, 1.0).missing == 0
     usual = sum(call.startswith("feed") for _, call in rig.server.set_ups)
     assert len(rig.server.set_ups) == usual + 1
 
--- a/tests/test_repeated_set_ups.py
+++ b/tests/test_repeated_set_ups.py
@@ -83,6 +83,33 @@
     assert not any(one._open for one in websocket.node.fronts[1]._sessions)
 
 
+@pytest.mark.parametrize("returns", ["and listens", "and repeats it", "never"])
+def test_a_set_up_that_is_handled_after_its_client_left_begins_when_that_is_back(
+    websocket: NodeHarness, returns: str
+) -> None:
+    """Guards against picture (c): requests sent on for a client that had left before they were handled."""
+    caller = websocket.caller()
+    blocked = BlockedPlanner(websocket.planner)
+    caller.set_up(A, left_ms=1000)
+    until(lambda: websocket.node.front_contexts[1].pending_set_ups == 1)
+    caller.disconnect()
+    until(lambda: not websocket.node.fronts[1]._sessions)
+    blocked.unblock()
+    websocket.settle()
+    assert not websocket.attempts
+    if returns == "never":
+        websocket.advance(1000.0)
+        assert not websocket.attempts and not websocket.planner.calls.by_key
+        return
+    again = websocket.caller()
+    if returns == "and repeats it":
+        again.set_up(A, left_ms=900)
+    assert websocket.servers[0].receive()["id"] == A
+    websocket.links[0].send("answer", A, sdp="v=0")
+    assert again.receive()["type"] == "answer"
+    assert outcomes(websocket, again) == [] and len(websocket.attempts) == 1
+
+
 @pytest.mark.parametrize("answered", ["before it", "while it is held", "after the close"])
 def test_a_set_up_that_comes_before_the_close_of_its_first_connection_joins_its_call(answered: str) -> None:
     """Guards against cause 100 for a client whose own close was still on its way, on JSON lines."""
