--- a/tests/test_fleet_days.py
+++ b/tests/test_fleet_days.py
@@ -243,3 +243,20 @@
                 assert all(p < shape.proxies for s in steps for p in s.proxies)
                 assert all(n < shape.servers + shape.spares for s in steps for n in s.servers)
                 assert [s.at_ms for s in steps] == sorted(s.at_ms for s in steps)
+
+
+def test_storm_draws_lost_machines_that_are_back_early_late_and_twice() -> None:
+    """Guards against a generator that no longer meets what the review's cases showed."""
+    gaps_ms: list[float] = []
+    losses, drained = [], 0
+    for seed in range(1, 61):
+        steps = script("storm", Shape(6, 3, 2, 3, 10.0), seed)
+        for server in range(3):
+            lost = [step.at_ms for step in steps if step.action == "vanish" and step.servers == (server,)]
+            back = [step.at_ms for step in steps if step.action == "return" and step.servers == (server,)]
+            gaps_ms += [there - gone for gone, there in zip(lost, back, strict=True)]
+            losses.append(len(lost))
+            drains = [step.at_ms for step in steps if step.action == "drain" and server in step.servers]
+            drained += any(at_ms <= gone for at_ms in drains for gone in lost)
+    assert min(gaps_ms) < 100.0 and max(gaps_ms) > 3000.0
+    assert {0, 1, 2} <= set(losses) and drained
