--- a/capershelf/net/connection.py
+++ b/capershelf/net/connection.py
@@ -143,7 +143,7 @@
             on_invalid_message,
             on_timeout,
         )
-        self._pacer = ReadPacer()
+        self._pacer: ReadPacer | None = None  # of a connection with a thread of its own
         self._pause_s = 0.0  # before the next read
         self._lock = threading.Condition()
         # The unwritten part of each message, its tag, and the gate to check before its first byte.
@@ -328,6 +328,7 @@
 
     def run(self) -> None:
         """Read until the connection ends; runs on the connection's own thread."""
+        self._pacer = ReadPacer()
         if self.begin():
             while self._step(lambda: self._wait() and self.receive()):
                 pass
@@ -420,9 +421,9 @@
             self._partial_since_ms = math.inf
         elif messages or self._partial_since_ms == math.inf:
             self._partial_since_ms = self._clock.now_ms()
-        self._pause_s = self._pacer.pause_s(
-            messages, self._framing.parsed_lines - lines_before, self._framing.has_partial_message
-        )
+        if self._pacer is not None:
+            lines = self._framing.parsed_lines - lines_before
+            self._pause_s = self._pacer.pause_s(messages, lines, self._framing.has_partial_message)
         return True
 
     def _wait(self) -> bool:
--- a/tests/test_bad_clients.py
+++ b/tests/test_bad_clients.py
@@ -57,7 +57,7 @@
 def test_a_crowd_that_writes_slowly_or_heavily_keeps_within_the_memory_limit(
     rig: ProxyRig, attack: str, websocket: bool
 ) -> None:
-    """Guards against picture (a): 105 MB where 64 were allowed, and usual clients that waited for 2 s."""
+    """Guards against a process over its memory limit, and against usual clients that wait for seconds."""
     crowds = [rig.attack(attack, front, CROWD, CROWD_S) for front in (False, True)]
     time.sleep(BEGINNING_S)
     waits = rig.usual_calls(websocket, CROWD_S - BEGINNING_S)
@@ -83,7 +83,7 @@
 def test_usual_clients_are_served_while_one_client_sends_at_full_speed(
     rig: ProxyRig, attack: str, websocket: bool
 ) -> None:
-    """Guards against picture (b): half of the usual calls were refused, and the others took up to 1.5 s."""
+    """Guards against usual calls that are refused or late because of one client."""
     flood = rig.attack(attack, websocket, 1, FLOOD_S)
     time.sleep(BEGINNING_S)
     waits = rig.usual_calls(websocket, FLOOD_S - BEGINNING_S)
@@ -121,7 +121,7 @@
 
 
 def test_a_head_of_very_many_fields_is_not_parsed() -> None:
-    """Guards against picture (a): hundreds of such heads at once took 40 MB and seconds of the processor."""
+    """Guards against memory and processor time that grow with the number of fields."""
     fields = "".join(f"{n:x}:\r\n" for n in range(MAX_HEAD_FIELDS + 1))
     with pytest.raises(HttpError):
         parse_head(f"GET / HTTP/1.1\r\n{fields}".encode())
@@ -145,7 +145,7 @@
 
 @FRONTS
 def test_set_ups_of_a_client_that_has_left_are_not_sent_on(rig: ProxyRig, websocket: bool) -> None:
-    """Guards against picture (c): requests that were unread when their client left, and were sent on."""
+    """Guards against requests that were unread when their client left, and were sent on."""
     caller = rig.caller(websocket)
     rig.server.answers = False
     caller.set_up(A)
@@ -166,7 +166,7 @@
 def test_an_id_that_comes_again_after_its_client_has_left_runs_once(
     rig: ProxyRig, websocket: bool, answered: bool
 ) -> None:
-    """Guards against picture (c): an id ran twice when it came again after its client had left."""
+    """Guards against an id that runs twice when it came again after its client had left."""
     rig.server.answers = answered
     caller = rig.caller(websocket)
     caller.set_up(A)
--- a/tests/test_call_ownership.py
+++ b/tests/test_call_ownership.py
@@ -61,7 +61,7 @@
 def test_an_open_call_goes_on_whoever_else_uses_its_id(
     harness: NodeHarness, form: str, front: bool, host: str
 ) -> None:
-    """Guards against review/6: set-ups without an outcome, as another client released their ids."""
+    """Guards against set-ups without an outcome, as another client released their ids."""
     caller = harness.caller()
     caller.set_up(A)
     assert harness.servers[0].receive()["id"] == A
--- a/tests/test_lost_machine.py
+++ b/tests/test_lost_machine.py
@@ -241,7 +241,7 @@
 def test_callers_are_told_of_the_end_of_calls_at_a_machine_that_is_gone(
     trials: dict[bool, Trial], case: Case, may_probe: bool
 ) -> None:
-    """Guards against review/10: a new process at the address counted as a sign of life of the old calls."""
+    """Guards against a new process at the address that counts as a sign of life of the old calls."""
     trial = trials[may_probe]
     machine = trial.machines[CASES.index(case)]
     assert len(machine.lost_at_ms) >= CALLS_PER_SERVER
--- a/tests/test_repeated_set_ups.py
+++ b/tests/test_repeated_set_ups.py
@@ -52,7 +52,7 @@
 def test_a_set_up_that_crosses_the_close_of_its_websocket_gets_one_outcome(
     websocket: NodeHarness, outcome: str, crossing: str
 ) -> None:
-    """Guards against review/8: a second outcome, as the set-up was read before the first one was sent."""
+    """Guards against a second outcome, as the set-up was read before the first one was sent."""
     caller = websocket.caller()
     caller.set_up(A)
     assert websocket.servers[0].receive()["id"] == A
@@ -87,7 +87,7 @@
 def test_a_set_up_that_is_handled_after_its_client_left_begins_when_that_is_back(
     websocket: NodeHarness, returns: str
 ) -> None:
-    """Guards against picture (c): requests sent on for a client that had left before they were handled."""
+    """Guards against requests sent on for a client that had left before they were handled."""
     caller = websocket.caller()
     blocked = BlockedPlanner(websocket.planner)
     caller.set_up(A, left_ms=1000)
@@ -165,7 +165,7 @@
 def test_a_call_that_stood_is_not_run_again_when_its_set_up_is_repeated(
     harness: NodeHarness, state: str
 ) -> None:
-    """Guards against picture (c): an id that ran twice when it came again after its client had left."""
+    """Guards against an id that ran twice when it came again after its client had left."""
     caller = harness.caller()
     caller.set_up(A)
     assert harness.servers[0].receive()["id"] == A
--- a/tests/test_replaced_process.py
+++ b/tests/test_replaced_process.py
@@ -1,4 +1,4 @@
-"""Another process at a booking server's address, on real processes: picture (d)."""
+"""Another process at a booking server's address, on real processes."""
 
 from __future__ import annotations
 
@@ -50,7 +50,7 @@
 
 
 def test_work_of_a_process_that_is_gone_neither_stays_nor_runs_twice_at_the_next_one(rig: ProxyRig) -> None:
-    """Guards against picture (d): calls that a new process does not have counted as standing there."""
+    """Guards against calls that a new process does not have counted as standing there."""
     callers = [rig.caller(websocket) for websocket in (False, True)]
     rig.server.hold_ms = LONG_HOLD_MS
     standing = set_up_all(callers, 0)
